--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/BestFit.java
@@ -0,0 +1,67 @@
+package org.lovagegrade.core.internal;
+
+import org.lovagegrade.core.Resources;
+
+/** Takes the worker whose free amounts are best aligned with the need, and spreads services. */
+final class BestFit {
+    private static final double IMBALANCE_WEIGHT = 2.0;
+    private static final double IDLE_ACCELERATOR_WEIGHT = 4.0;
+    private static final double SAME_DOMAIN_WEIGHT = 10.0;
+    private static final double SAME_RACK_WEIGHT = 3.0;
+    private static final double SAME_WORKER_WEIGHT = 3.0;
+
+    private BestFit() {}
+
+    static WorkerState find(Cell cell, JobState job) {
+        WorkerState own = reservedWorker(job);
+        if (own != null) {
+            return own;
+        }
+        return cell.index().best(job, BestFit::score, worker -> cell.mayTake(worker, job));
+    }
+
+    private static WorkerState reservedWorker(JobState job) {
+        for (WorkerState worker : job.reserved) {
+            if (worker.isUsable() && worker.free.covers(job.planned)) {
+                return worker;
+            }
+        }
+        return null;
+    }
+
+    /** What would be left over, and how lopsided; lower is better. */
+    static double score(WorkerState worker, JobState job) {
+        Resources left = worker.free.minus(job.planned);
+        Resources capacity = worker.spec.capacity();
+        double coresLeft = part(left.milliCores(), capacity.milliCores());
+        double memoryLeft = part(left.memoryMb(), capacity.memoryMb());
+        double score = coresLeft + memoryLeft + IMBALANCE_WEIGHT * Math.abs(coresLeft - memoryLeft);
+        if (job.planned.accelerators() == 0 && capacity.accelerators() > 0) {
+            score += IDLE_ACCELERATOR_WEIGHT * part(left.accelerators(), capacity.accelerators());
+        }
+        return job.isService() ? score + crowding(worker, job) : score;
+    }
+
+    private static double crowding(WorkerState worker, JobState job) {
+        double score = 0;
+        for (TaskState task : job.tasks) {
+            if (!task.isOnWorker()) {
+                continue;
+            }
+            if (task.worker.spec.failureDomain().equals(worker.spec.failureDomain())) {
+                score += SAME_DOMAIN_WEIGHT;
+            }
+            if (task.worker.spec.rack().equals(worker.spec.rack())) {
+                score += SAME_RACK_WEIGHT;
+            }
+            if (task.worker == worker) {
+                score += SAME_WORKER_WEIGHT;
+            }
+        }
+        return score;
+    }
+
+    private static double part(long amount, long total) {
+        return total == 0 ? 0 : (double) amount / total;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
@@ -0,0 +1,91 @@
+package org.lovagegrade.core.internal;
+
+import java.util.function.Consumer;
+import org.lovagegrade.core.Resources;
+
+/** Read access to an engine's state, for measures and status pages; valid until the engine's next event. */
+public final class EngineView {
+    private final Cell cell;
+
+    EngineView(Cell cell) {
+        this.cell = cell;
+    }
+
+    /**
+     * One team's state.
+     *
+     * @param id the team's id
+     * @param share its share
+     * @param used what it holds
+     * @param waiting whether it has work waiting for room
+     * @param firstWaiting what the first waiting placement needs at once, or {@link Resources#NONE}
+     */
+    public record TeamView(String id, double share, Resources used, boolean waiting, Resources firstWaiting) {}
+
+    /**
+     * One worker's state.
+     *
+     * @param id the worker's id
+     * @param failureDomain its failure domain
+     * @param rack its rack
+     * @param capacity what it has
+     * @param free what is free
+     * @param silent whether it is not heard
+     * @param suspect whether it gets only probes
+     * @param tasks how many tasks it holds
+     */
+    public record WorkerView(
+            String id,
+            String failureDomain,
+            String rack,
+            Resources capacity,
+            Resources free,
+            boolean silent,
+            boolean suspect,
+            int tasks) {}
+
+    /**
+     * Visits all teams.
+     *
+     * @param visitor is given each team, ordered by id
+     */
+    public void forEachTeam(Consumer<TeamView> visitor) {
+        for (TeamState team : cell.teams()) {
+            JobState first = team.waiting.firstParked();
+            visitor.accept(new TeamView(
+                    team.spec.id(),
+                    team.spec.share(),
+                    team.used,
+                    !team.waiting.isEmpty(),
+                    first == null ? Resources.NONE : first.neededAtOnce()));
+        }
+    }
+
+    /**
+     * Visits all workers.
+     *
+     * @param visitor is given each worker, ordered by id
+     */
+    public void forEachWorker(Consumer<WorkerView> visitor) {
+        for (WorkerState worker : cell.workers()) {
+            visitor.accept(new WorkerView(
+                    worker.spec.id(),
+                    worker.spec.failureDomain(),
+                    worker.spec.rack(),
+                    worker.spec.capacity(),
+                    worker.free,
+                    worker.silent,
+                    worker.health.isSuspect(),
+                    worker.tasks.size()));
+        }
+    }
+
+    /**
+     * What the workers have that are not silent.
+     *
+     * @return the sum of their capacities
+     */
+    public Resources living() {
+        return cell.living();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/GangSearch.java
@@ -0,0 +1,76 @@
+package org.lovagegrade.core.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/** Finds workers for all tasks of a gang at once: within a rack if one can, else a failure domain, else anywhere. */
+final class GangSearch {
+    private record Slots(WorkerState worker, long count) {}
+
+    private static final Comparator<Slots> MOST_FIRST =
+            Comparator.comparingLong(Slots::count).reversed().thenComparing(Slots::worker, WorkerState.BY_ID);
+
+    private GangSearch() {}
+
+    /** One worker per task, in task order, or nothing. */
+    static Optional<List<WorkerState>> find(Cell cell, JobState job) {
+        List<Slots> all = slots(cell, job);
+        List<Function<WorkerState, String>> scopes = List.of(
+                worker -> worker.spec.failureDomain() + "/" + worker.spec.rack(),
+                worker -> worker.spec.failureDomain(),
+                _worker -> "");
+        for (Function<WorkerState, String> scope : scopes) {
+            List<Slots> chosen = smallestSufficient(all, scope, job.tasks.length);
+            if (chosen != null) {
+                return Optional.of(assign(chosen, job.tasks.length));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static List<Slots> slots(Cell cell, JobState job) {
+        List<Slots> slots = new ArrayList<>();
+        for (WorkerState worker : cell.workers()) {
+            if (!worker.free.covers(job.planned) || !cell.mayTake(worker, job)) {
+                continue;
+            }
+            slots.add(new Slots(worker, worker.free.timesCovering(job.planned)));
+        }
+        return slots;
+    }
+
+    private static List<Slots> smallestSufficient(List<Slots> all, Function<WorkerState, String> scope, int tasks) {
+        Map<String, List<Slots>> byScope = new TreeMap<>();
+        for (Slots slots : all) {
+            byScope.computeIfAbsent(scope.apply(slots.worker()), _unused -> new ArrayList<>())
+                    .add(slots);
+        }
+        List<Slots> best = null;
+        long bestTotal = Long.MAX_VALUE;
+        for (List<Slots> group : byScope.values()) {
+            long total = group.stream().mapToLong(Slots::count).sum();
+            if (total >= tasks && total < bestTotal) {
+                best = group;
+                bestTotal = total;
+            }
+        }
+        return best;
+    }
+
+    private static List<WorkerState> assign(List<Slots> chosen, int tasks) {
+        List<Slots> ordered = new ArrayList<>(chosen);
+        ordered.sort(MOST_FIRST);
+        List<WorkerState> workers = new ArrayList<>();
+        for (Slots slots : ordered) {
+            for (long i = 0; i < slots.count() && workers.size() < tasks; i++) {
+                workers.add(slots.worker());
+            }
+        }
+        return workers;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
@@ -0,0 +1,228 @@
+package org.lovagegrade.core.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lovagegrade.core.Reason;
+import org.lovagegrade.core.Resources;
+
+/** Makes room for urgent work and for teams below their shares, by stopping the cheapest work that may give way. */
+final class Preemption {
+    private static final long TRIGGER_DIVISOR = 4;
+    private static final long RETRY_MS = 500;
+    private static final long RESERVED_MS = 15_000;
+    private static final int JOBS_SEEN_PER_TEAM = 32;
+    private static final int PLANS_PER_DECISION = 32;
+    private static final int VICTIMS_SEEN_PER_SLOT = 128;
+    private static final long SOON_MS = 5;
+
+    private final Cell cell;
+    private final Stopping stopping;
+    private final Timers timers;
+    private int plansLeft;
+
+    Preemption(Cell cell, Stopping stopping, Timers timers) {
+        this.cell = cell;
+        this.stopping = stopping;
+        this.timers = timers;
+    }
+
+    /** Whether a task may give way, given what its team has given up already. */
+    @FunctionalInterface
+    private interface VictimTest {
+        boolean mayGiveWay(TaskState victim, Resources givenUp);
+    }
+
+    void run(long nowMs) {
+        plansLeft = PLANS_PER_DECISION;
+        for (TeamState team : teamsByUse(false)) {
+            for (JobState job : firstParked(team)) {
+                consider(job, nowMs);
+            }
+        }
+    }
+
+    private static List<JobState> firstParked(TeamState team) {
+        List<JobState> first = new ArrayList<>();
+        for (JobState job : team.waiting.parked()) {
+            if (first.size() >= JOBS_SEEN_PER_TEAM) {
+                break;
+            }
+            first.add(job);
+        }
+        return first;
+    }
+
+    private void consider(JobState job, long nowMs) {
+        if (job.waitReason != Reason.NO_ROOM || !cell.hasTeamRoom(job)) {
+            return;
+        }
+        if (job.isUrgent()) {
+            long targetMs = job.workClass.waitTargetMs().getAsLong();
+            considerAfter(job, job.waitingSinceMs + targetMs / TRIGGER_DIVISOR, nowMs, Reason.URGENT_WORK_WAITS);
+        } else if (job.workClass.shareTargetMs().isPresent() && isBelowShare(job)) {
+            long targetMs = job.workClass.shareTargetMs().getAsLong();
+            considerAfter(job, job.waitingSinceMs + targetMs / TRIGGER_DIVISOR, nowMs, Reason.RESTORES_SHARE);
+        }
+    }
+
+    private boolean isBelowShare(JobState job) {
+        Resources after = job.team.used.plus(job.neededAtOnce());
+        return job.team.useOfShare(after, cell.living()) <= 1;
+    }
+
+    private void considerAfter(JobState job, long triggerMs, long nowMs, Reason reason) {
+        long dueMs = Math.max(triggerMs, job.nextPreemptionMs);
+        if (nowMs < dueMs) {
+            timers.wakeAt(dueMs);
+            return;
+        }
+        if (!job.reserved.isEmpty() && nowMs < job.reservedUntilMs) {
+            return;
+        }
+        if (plansLeft-- <= 0) {
+            timers.wakeAt(nowMs + SOON_MS);
+            return;
+        }
+        if (makeRoom(job, reason, nowMs)) {
+            job.nextPreemptionMs = nowMs + SOON_MS;
+        } else {
+            job.nextPreemptionMs = nowMs + RETRY_MS;
+            timers.wakeAt(job.nextPreemptionMs);
+        }
+    }
+
+    private boolean makeRoom(JobState job, Reason reason, long nowMs) {
+        for (VictimTest test : testsFor(job, reason)) {
+            Map<WorkerState, List<TaskState>> plan = plan(job, test);
+            if (plan != null) {
+                carryOut(plan, job, reason, nowMs);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private List<VictimTest> testsFor(JobState job, Reason reason) {
+        VictimTest overShare = (victim, givenUp) ->
+                !victim.job.isUrgent() && victim.job.team != job.team && staysAtShare(victim, givenUp);
+        if (reason == Reason.RESTORES_SHARE) {
+            return List.of(overShare);
+        }
+        VictimTest sameTeam = (victim, _givenUp) -> !victim.job.isUrgent() && victim.job.team == job.team;
+        VictimTest anyNotUrgent = (victim, _givenUp) -> !victim.job.isUrgent();
+        return List.of(overShare, sameTeam, anyNotUrgent);
+    }
+
+    private boolean staysAtShare(TaskState victim, Resources givenUp) {
+        TeamState team = victim.job.team;
+        Resources loss = victim.job.isGang() ? victim.held.times(victim.job.placedTasks) : victim.held;
+        Resources after = team.used.minus(team.stopping).minus(givenUp).minus(loss);
+        return team.useOfShare(after, cell.living()) >= 1;
+    }
+
+    /** The victims by worker that make the room needed, or null. */
+    private Map<WorkerState, List<TaskState>> plan(JobState job, VictimTest test) {
+        long missing = job.tasksPerPlacement() - (job.isGang() ? freeSlots(job) : 0);
+        long victimsLeft = VICTIMS_SEEN_PER_SLOT * Math.max(1, missing);
+        IdentityHashMap<TeamState, Resources> givenUp = new IdentityHashMap<>();
+        Map<WorkerState, List<TaskState>> victims = new TreeMap<>(WorkerState.BY_ID);
+        IdentityHashMap<WorkerState, Resources> room = new IdentityHashMap<>();
+        for (TeamState team : teamsByUse(true)) {
+            for (TaskState victim : team.running) {
+                if (victimsLeft-- <= 0) {
+                    return null;
+                }
+                WorkerState worker = victim.worker;
+                Resources given = givenUp.getOrDefault(team, Resources.NONE);
+                if (!cell.mayTake(worker, job) || !test.mayGiveWay(victim, given)) {
+                    continue;
+                }
+                Resources before = room.getOrDefault(worker, worker.free);
+                Resources after = before.plus(victim.held);
+                missing -= after.timesCovering(job.planned) - before.timesCovering(job.planned);
+                givenUp.put(team, given.plus(victim.held));
+                room.put(worker, after);
+                victims.computeIfAbsent(worker, _unused -> new ArrayList<>()).add(victim);
+                if (missing <= 0) {
+                    return withoutUseless(victims, job);
+                }
+            }
+        }
+        return null;
+    }
+
+    private static Map<WorkerState, List<TaskState>> withoutUseless(
+            Map<WorkerState, List<TaskState>> victims, JobState job) {
+        Map<WorkerState, List<TaskState>> useful = new TreeMap<>(WorkerState.BY_ID);
+        victims.forEach((worker, tasks) -> {
+            List<TaskState> kept = leastThatHelps(worker, tasks, job);
+            if (!kept.isEmpty()) {
+                useful.put(worker, kept);
+            }
+        });
+        return useful;
+    }
+
+    /** Drops victims, the first found last, as long as the worker still gains as many slots. */
+    private static List<TaskState> leastThatHelps(WorkerState worker, List<TaskState> tasks, JobState job) {
+        Resources room = worker.free;
+        for (TaskState task : tasks) {
+            room = room.plus(task.held);
+        }
+        long slots = room.timesCovering(job.planned);
+        List<TaskState> kept = new ArrayList<>(tasks);
+        for (int i = tasks.size() - 1; i >= 0; i--) {
+            Resources without = room.minus(tasks.get(i).held);
+            if (without.timesCovering(job.planned) >= slots) {
+                room = without;
+                kept.remove(i);
+            }
+        }
+        return slots > worker.free.timesCovering(job.planned) ? kept : List.of();
+    }
+
+    private long freeSlots(JobState job) {
+        long slots = 0;
+        for (WorkerState worker : cell.workers()) {
+            if (cell.mayTake(worker, job)) {
+                slots += worker.free.timesCovering(job.planned);
+            }
+        }
+        return slots;
+    }
+
+    private void carryOut(Map<WorkerState, List<TaskState>> plan, JobState job, Reason reason, long nowMs) {
+        if (job.isGang()) {
+            reserveFreeSlots(job);
+        }
+        plan.keySet().forEach(worker -> cell.reserve(worker, job));
+        job.reservedUntilMs = nowMs + RESERVED_MS;
+        timers.at(job.reservedUntilMs, () -> {
+            if (job.reservedUntilMs <= nowMs + RESERVED_MS) {
+                cell.unreserveAll(job);
+            }
+        });
+        plan.values().forEach(tasks -> tasks.forEach(task -> stopping.request(task, reason, nowMs)));
+    }
+
+    private void reserveFreeSlots(JobState job) {
+        List<WorkerState> fitting = new ArrayList<>();
+        for (WorkerState worker : cell.workers()) {
+            if (cell.mayTake(worker, job) && worker.free.covers(job.planned)) {
+                fitting.add(worker);
+            }
+        }
+        fitting.forEach(worker -> cell.reserve(worker, job));
+    }
+
+    private List<TeamState> teamsByUse(boolean mostFirst) {
+        Comparator<TeamState> byUse = Comparator.comparingDouble(team -> team.useOfShare(cell.living()));
+        List<TeamState> teams = new ArrayList<>(cell.teams());
+        teams.sort((mostFirst ? byUse.reversed() : byUse).thenComparing(team -> team.spec.id()));
+        return teams;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/Rules.java
@@ -0,0 +1,77 @@
+package org.lovagegrade.core.internal;
+
+import java.util.Comparator;
+import org.lovagegrade.core.Resources;
+
+/**
+ * What differs between policies.
+ *
+ * @param jobOrder which job of a team goes first
+ * @param teamOrder which team goes first
+ * @param search how a worker is found
+ * @param preempts whether running work gives way to other work
+ * @param reserves whether room is held free for work that would wait forever
+ */
+public record Rules(
+        Comparator<JobState> jobOrder, TeamOrder teamOrder, WorkerSearch search, boolean preempts, boolean reserves) {
+    private static final Comparator<JobState> BY_SUBMISSION = Comparator.comparingLong(job -> job.sequence);
+    private static final Comparator<JobState> BY_SLACK =
+            Comparator.<JobState>comparingLong(job -> job.deadlineMs).thenComparingLong(job -> job.sequence);
+
+    /** Compares two teams by their next jobs. */
+    @FunctionalInterface
+    interface TeamOrder {
+        int compare(TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell);
+    }
+
+    /** Finds a worker for one task. */
+    @FunctionalInterface
+    interface WorkerSearch {
+        WorkerState find(Cell cell, JobState job);
+    }
+
+    /**
+     * The product's own rules.
+     *
+     * @return the rules
+     */
+    public static Rules current() {
+        return new Rules(BY_SLACK, Rules::urgentThenByShare, BestFit::find, true, true);
+    }
+
+    /**
+     * The plainest rules: in order of submission, on the first worker that fits.
+     *
+     * @return the rules
+     */
+    public static Rules fifoFirstFit() {
+        return new Rules(BY_SUBMISSION, Rules::bySubmission, FirstFit::find, false, false);
+    }
+
+    /**
+     * Teams by dominant share, else as plain as can be.
+     *
+     * @return the rules
+     */
+    public static Rules fairFirstFit() {
+        return new Rules(BY_SUBMISSION, Rules::byShare, FirstFit::find, false, false);
+    }
+
+    private static int bySubmission(
+            TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell) {
+        return BY_SUBMISSION.compare(leftJob, rightJob);
+    }
+
+    private static int byShare(TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell) {
+        int byUse = Double.compare(left.useOfShare(cell), right.useOfShare(cell));
+        return byUse != 0 ? byUse : BY_SUBMISSION.compare(leftJob, rightJob);
+    }
+
+    private static int urgentThenByShare(
+            TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell) {
+        if (leftJob.isUrgent() != rightJob.isUrgent()) {
+            return leftJob.isUrgent() ? -1 : 1;
+        }
+        return byShare(left, leftJob, right, rightJob, cell);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/TaskState.java
@@ -0,0 +1,38 @@
+package org.lovagegrade.core.internal;
+
+import org.lovagegrade.core.Attempt;
+import org.lovagegrade.core.Reason;
+import org.lovagegrade.core.Resources;
+
+/** The scheduler's knowledge of one task. */
+final class TaskState {
+    final JobState job;
+    final int index;
+    TaskPhase phase = TaskPhase.WAITING;
+    int attemptNumber;
+    int failures;
+    WorkerState worker;
+    Resources held = Resources.NONE;
+    long placedAtMs;
+    long victimSequence;
+    boolean probe;
+    Reason stopReason;
+    long stopAtMs;
+
+    TaskState(JobState job, int index) {
+        this.job = job;
+        this.index = index;
+    }
+
+    Attempt attempt() {
+        return new Attempt(job.spec.id(), index, attemptNumber, worker == null ? "" : worker.spec.id());
+    }
+
+    boolean isOnWorker() {
+        return phase == TaskPhase.HELD || isStopRequested();
+    }
+
+    boolean isStopRequested() {
+        return phase == TaskPhase.CHECKPOINTING || phase == TaskPhase.STOPPING;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/TeamState.java
@@ -0,0 +1,48 @@
+package org.lovagegrade.core.internal;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+import org.lovagegrade.core.Resources;
+import org.lovagegrade.core.Team;
+
+/** The scheduler's knowledge of one team. */
+final class TeamState {
+    private static final int BATCH_RANK = 0;
+    private static final int GANG_RANK = 1;
+    private static final int SERVICE_RANK = 2;
+
+    /** Cheapest first: batch before gangs before services, and what ran least before what ran longer. */
+    private static final Comparator<TaskState> CHEAPEST_FIRST = Comparator.<TaskState>comparingInt(TeamState::costRank)
+            .thenComparing(
+                    Comparator.<TaskState>comparingLong(task -> task.placedAtMs).reversed())
+            .thenComparingLong(task -> -task.victimSequence);
+
+    final WaitingJobs waiting;
+    final TreeSet<TaskState> running = new TreeSet<>(CHEAPEST_FIRST);
+    Team spec;
+    Resources used = Resources.NONE;
+    Resources stopping = Resources.NONE;
+    boolean headroomRose;
+
+    TeamState(Team spec, Comparator<JobState> jobOrder) {
+        this.spec = spec;
+        this.waiting = new WaitingJobs(jobOrder);
+    }
+
+    /** The part of its share that the team uses; infinite for a team without a share. */
+    double useOfShare(Resources cell) {
+        return useOfShare(used, cell);
+    }
+
+    double useOfShare(Resources assumedUse, Resources cell) {
+        double use = assumedUse.dominantShareOf(cell);
+        return spec.share() > 0 ? use / spec.share() : use > 0 ? Double.POSITIVE_INFINITY : Double.MAX_VALUE;
+    }
+
+    private static int costRank(TaskState task) {
+        if (task.job.isService()) {
+            return SERVICE_RANK;
+        }
+        return task.job.isGang() ? GANG_RANK : BATCH_RANK;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lovagegrade/core/internal/WorkerState.java
@@ -0,0 +1,31 @@
+package org.lovagegrade.core.internal;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+import org.lovagegrade.core.Resources;
+import org.lovagegrade.core.Worker;
+
+/** The scheduler's knowledge of one worker. */
+final class WorkerState {
+    static final Comparator<WorkerState> BY_ID = Comparator.comparing(worker -> worker.spec.id());
+
+    final TreeSet<TaskState> tasks = new TreeSet<>(
+            Comparator.<TaskState>comparingLong(task -> task.job.sequence).thenComparingInt(t -> t.index));
+    final WorkerHealth health = new WorkerHealth();
+    Worker spec;
+    Resources free;
+    boolean silent;
+    boolean leaving;
+    JobState reservedFor;
+    int indexedLevel = FreeIndex.NOT_INDEXED;
+
+    WorkerState(Worker spec) {
+        this.spec = spec;
+        this.free = spec.capacity();
+    }
+
+    /** Whether new attempts may be placed here at all. */
+    boolean isUsable() {
+        return !silent && !leaving && !health.isSuspect();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/EntrySettings.java
@@ -0,0 +1,127 @@
+package org.lovagegrade.entry;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.lovagegrade.kernel.settings.Settings;
+import org.lovagegrade.kernel.settings.SettingsException;
+import org.lovagegrade.wire.Address;
+import org.lovagegrade.wire.proto.EntryMemberProto;
+
+/**
+ * The settings of {@code lovagegrade-entry}.
+ *
+ * @param self this entry, with the addresses at which the other entries reach it
+ * @param http where it listens for callers, operators, endpoints and workers
+ * @param peer where it listens for the other entries
+ * @param replicas the addresses of the state replicas by name
+ * @param seeds the addresses of other entries, used until the members are known
+ * @param operatorKeyDigests the SHA-256 digests of operators' keys, in hexadecimal digits
+ * @param routing the name of the routing policy
+ * @param drainMs how long it goes on serving all after it began to leave, in milliseconds
+ */
+public record EntrySettings(
+        EntryMemberProto self,
+        Address http,
+        Address peer,
+        List<NamedAddress> replicas,
+        List<Address> seeds,
+        Set<String> operatorKeyDigests,
+        String routing,
+        long drainMs) {
+    private static final int MAX_PORT = 65_535;
+    private static final int DEFAULT_DRAIN_MS = 2_500;
+    private static final int MOST_DRAIN_MS = 60_000;
+    private static final String DIGEST_PATTERN = "[0-9a-f]{64}";
+    private static final Set<String> ROUTINGS = Set.of("shared-view", "random", "local-least");
+
+    /**
+     * A named process.
+     *
+     * @param name its name
+     * @param address where it listens
+     */
+    public record NamedAddress(String name, Address address) {}
+
+    /**
+     * Reads and checks the settings.
+     *
+     * @param settings the file
+     * @return the settings
+     * @throws SettingsException if any value is bad
+     */
+    public static EntrySettings from(Settings settings) throws SettingsException {
+        String id = settings.text("entryId", "the id of this entry");
+        String domain = settings.text("failureDomain", "the failure domain of this entry");
+        String host = settings.text("listenHost", "the IP number to listen at");
+        int httpPort = settings.integer("httpPort", 1, MAX_PORT, "port number");
+        int peerPort = settings.integer("peerPort", 1, MAX_PORT, "port number");
+        String advertised =
+                settings.optionalText("advertisedPeerAddress", "host:port").orElse(host + ":" + peerPort);
+        Address advertisedPeer = Address.parse(advertised).orElse(null);
+        if (advertisedPeer == null) {
+            settings.reject("advertisedPeerAddress", advertised, "host:port");
+        }
+        List<NamedAddress> replicas = readReplicas(settings);
+        List<Address> seeds = readSeeds(settings);
+        Set<String> digests = readDigests(settings);
+        String routing = settings.optionalText("routing", "one of " + ROUTINGS).orElse("shared-view");
+        if (!ROUTINGS.contains(routing)) {
+            settings.reject("routing", routing, "one of " + ROUTINGS);
+        }
+        int drainMs = settings.integer("drainMs", DEFAULT_DRAIN_MS, 0, MOST_DRAIN_MS, "milliseconds");
+        settings.finish();
+        EntryMemberProto self = EntryMemberProto.newBuilder()
+                .setId(id)
+                .setFailureDomain(domain)
+                .setHttpHost(host)
+                .setHttpPort(httpPort)
+                .setPeerHost(advertisedPeer.host())
+                .setPeerPort(advertisedPeer.port())
+                .build();
+        return new EntrySettings(
+                self,
+                new Address(host, httpPort),
+                new Address(host, peerPort),
+                replicas,
+                seeds,
+                digests,
+                routing,
+                drainMs);
+    }
+
+    private static List<NamedAddress> readReplicas(Settings settings) {
+        List<NamedAddress> replicas = new ArrayList<>();
+        for (Settings replica : settings.objects("replicas", "a list of {name, address}")) {
+            String name = replica.text("name", "the replica's name");
+            String address = replica.text("address", "host:port");
+            Address.parse(address)
+                    .ifPresentOrElse(
+                            parsed -> replicas.add(new NamedAddress(name, parsed)),
+                            () -> replica.reject("address", address, "host:port"));
+        }
+        return List.copyOf(replicas);
+    }
+
+    private static List<Address> readSeeds(Settings settings) {
+        List<Address> seeds = new ArrayList<>();
+        for (Settings seed : settings.objects("entrySeeds", "a list of {address}")) {
+            String address = seed.text("address", "host:port");
+            Address.parse(address).ifPresentOrElse(seeds::add, () -> seed.reject("address", address, "host:port"));
+        }
+        return List.copyOf(seeds);
+    }
+
+    private static Set<String> readDigests(Settings settings) {
+        Set<String> digests = new HashSet<>();
+        for (Settings key : settings.objects("operatorKeys", "a list of {sha256}")) {
+            String digest = key.text("sha256", "the SHA-256 of an operator's key in 64 hexadecimal digits");
+            if (!digest.matches(DIGEST_PATTERN)) {
+                key.reject("sha256", digest, "64 hexadecimal digits in lower case");
+            }
+            digests.add(digest);
+        }
+        return Set.copyOf(digests);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/PeerRequests.java
@@ -0,0 +1,50 @@
+package org.lovagegrade.entry;
+
+import java.util.function.Consumer;
+import org.lovagegrade.entry.calls.CallService;
+import org.lovagegrade.entry.calls.PassedCalls;
+import org.lovagegrade.entry.endpoints.EndpointDirectory;
+import org.lovagegrade.entry.peers.PeerEntries;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.Loop;
+import org.lovagegrade.wire.proto.EnvelopeProto;
+
+/** Answers the other entries. */
+final class PeerRequests {
+    private final CallService calls;
+    private final EndpointDirectory directory;
+    private final PeerEntries peers;
+    private final Loop loop;
+    private final Clock clock;
+
+    PeerRequests(CallService calls, EndpointDirectory directory, PeerEntries peers, Loop loop, Clock clock) {
+        this.calls = calls;
+        this.directory = directory;
+        this.peers = peers;
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    void handle(EnvelopeProto request, Consumer<EnvelopeProto> reply) {
+        loop.execute(() -> dispatch(request, reply));
+    }
+
+    private void dispatch(EnvelopeProto request, Consumer<EnvelopeProto> reply) {
+        switch (request.getBodyCase()) {
+            case GOSSIP -> peers.heard(request.getGossip());
+            case ANNOUNCE ->
+                directory.take(
+                        request.getAnnounce(),
+                        answer -> reply.accept(EnvelopeProto.newBuilder()
+                                .setAnnounceReply(answer)
+                                .build()));
+            case PASSED_CALL ->
+                calls.serveHere(
+                        PassedCalls.toRequest(request.getPassedCall(), clock.nowMs()),
+                        outcome -> reply.accept(EnvelopeProto.newBuilder()
+                                .setPassedCallReply(PassedCalls.toReply(outcome))
+                                .build()));
+            default -> {}
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/PassedCalls.java
@@ -0,0 +1,81 @@
+package org.lovagegrade.entry.calls;
+
+import java.util.Arrays;
+import org.lovagegrade.wire.proto.CallStatusProto;
+import org.lovagegrade.wire.proto.PassedCallProto;
+import org.lovagegrade.wire.proto.PassedCallReplyProto;
+
+/** Converts calls that entries pass to each other. */
+public final class PassedCalls {
+    private PassedCalls() {}
+
+    /**
+     * Reads a call that another entry passed on.
+     *
+     * @param passed the message
+     * @param nowMs the present time in milliseconds
+     * @return the call, with its deadline on this process's clock
+     */
+    public static CallRequest toRequest(PassedCallProto passed, long nowMs) {
+        long deadlineMs = nowMs + passed.getBudgetMs();
+        return new CallRequest(
+                passed.getCallId(),
+                passed.getTeam(),
+                passed.getWorkClass(),
+                passed.getService(),
+                passed.getMethod(),
+                passed.getPath(),
+                passed.getHeadersList(),
+                passed.getBody(),
+                passed.getIdempotent(),
+                deadlineMs,
+                deadlineMs);
+    }
+
+    /**
+     * Writes an outcome.
+     *
+     * @param outcome the outcome
+     * @return the message
+     */
+    public static PassedCallReplyProto toReply(CallOutcome outcome) {
+        PassedCallReplyProto.Builder reply = PassedCallReplyProto.newBuilder();
+        if (outcome instanceof CallOutcome.Answered answered) {
+            return reply.setStatus(CallStatusProto.ANSWERED)
+                    .setHttpStatus(answered.httpStatus())
+                    .addAllHeaders(answered.headers())
+                    .setBody(answered.body())
+                    .build();
+        }
+        if (outcome instanceof CallOutcome.NotRun notRun) {
+            return reply.setStatus(CallStatusProto.NOT_RUN)
+                    .setReason(notRun.reason().text())
+                    .build();
+        }
+        return reply.setStatus(CallStatusProto.CALL_UNKNOWN)
+                .setReason(((CallOutcome.Unknown) outcome).reason().text())
+                .build();
+    }
+
+    /**
+     * Reads an outcome.
+     *
+     * @param reply the message
+     * @return the outcome
+     */
+    public static CallOutcome toOutcome(PassedCallReplyProto reply) {
+        return switch (reply.getStatus()) {
+            case ANSWERED -> new CallOutcome.Answered(reply.getHttpStatus(), reply.getHeadersList(), reply.getBody());
+            case NOT_RUN ->
+                new CallOutcome.NotRun(Arrays.stream(CallRefusal.values())
+                        .filter(reason -> reason.text().equals(reply.getReason()))
+                        .findFirst()
+                        .orElse(CallRefusal.ENDPOINT_REFUSED));
+            default ->
+                new CallOutcome.Unknown(Arrays.stream(CallDoubt.values())
+                        .filter(reason -> reason.text().equals(reply.getReason()))
+                        .findFirst()
+                        .orElse(CallDoubt.OWNER_LOST));
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/internal/PendingCall.java
@@ -0,0 +1,129 @@
+package org.lovagegrade.entry.calls.internal;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.lovagegrade.entry.calls.CallDoubt;
+import org.lovagegrade.entry.calls.CallOutcome;
+import org.lovagegrade.entry.calls.CallRequest;
+
+/** A call that this entry received and has not answered. */
+public final class PendingCall {
+    private final CallRequest request;
+    private final Consumer<CallOutcome> caller;
+    private final Set<String> avoid = new HashSet<>();
+    private final long receivedMs;
+    private boolean admitted;
+    private boolean done;
+    private int attempts;
+    private CallDoubt doubt;
+
+    /**
+     * Creates the call.
+     *
+     * @param request the call
+     * @param caller takes the outcome, once
+     * @param receivedMs when it came, on the monotonic clock in milliseconds
+     */
+    public PendingCall(CallRequest request, Consumer<CallOutcome> caller, long receivedMs) {
+        this.receivedMs = receivedMs;
+        this.request = request;
+        this.caller = caller;
+    }
+
+    /**
+     * The call itself.
+     *
+     * @return the request
+     */
+    public CallRequest request() {
+        return request;
+    }
+
+    /**
+     * When it came.
+     *
+     * @return a time on the monotonic clock in milliseconds
+     */
+    public long receivedMs() {
+        return receivedMs;
+    }
+
+    /**
+     * Whether it counts against its team's limit.
+     *
+     * @return true from its first attempt on
+     */
+    public boolean isAdmitted() {
+        return admitted;
+    }
+
+    /** Counts it against its team's limit from now on. */
+    public void admit() {
+        admitted = true;
+    }
+
+    /**
+     * Notes an attempt.
+     *
+     * @return the number of the attempt, from 1
+     */
+    public int nextAttempt() {
+        return ++attempts;
+    }
+
+    /**
+     * How often it was tried.
+     *
+     * @return the number of attempts
+     */
+    public int attempts() {
+        return attempts;
+    }
+
+    /**
+     * The places that failed it.
+     *
+     * @return a set to add to
+     */
+    public Set<String> avoid() {
+        return avoid;
+    }
+
+    /**
+     * Notes that an attempt may have run.
+     *
+     * @param reason why that is not known
+     */
+    public void doubted(CallDoubt reason) {
+        doubt = reason;
+    }
+
+    /**
+     * Why it may have run.
+     *
+     * @return the reason, or null if it surely has not run
+     */
+    public CallDoubt doubt() {
+        return doubt;
+    }
+
+    /**
+     * Whether it was answered.
+     *
+     * @return true once it was
+     */
+    public boolean isDone() {
+        return done;
+    }
+
+    /**
+     * Answers the caller.
+     *
+     * @param outcome the outcome
+     */
+    public void finish(CallOutcome outcome) {
+        done = true;
+        caller.accept(outcome);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/endpoints/EndpointAnswer.java
@@ -0,0 +1,33 @@
+package org.lovagegrade.entry.endpoints;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import org.lovagegrade.entry.calls.CallDoubt;
+import org.lovagegrade.entry.calls.CallRefusal;
+import org.lovagegrade.wire.proto.HeaderProto;
+
+/** What became of one attempt at one endpoint. */
+public sealed interface EndpointAnswer {
+    /**
+     * The endpoint answered, and this is the whole answer.
+     *
+     * @param httpStatus the HTTP status
+     * @param headers the headers
+     * @param body the whole body
+     */
+    record Whole(int httpStatus, List<HeaderProto> headers, ByteString body) implements EndpointAnswer {}
+
+    /**
+     * The endpoint surely did not run it.
+     *
+     * @param reason why
+     */
+    record NotRun(CallRefusal reason) implements EndpointAnswer {}
+
+    /**
+     * The endpoint may have run it.
+     *
+     * @param reason why that is not known
+     */
+    record Doubtful(CallDoubt reason) implements EndpointAnswer {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/http/ApiAnswer.java
@@ -0,0 +1,66 @@
+package org.lovagegrade.entry.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import io.undertow.util.StatusCodes;
+import java.util.List;
+import org.lovagegrade.wire.proto.HeaderProto;
+
+/**
+ * An answer to an HTTP request.
+ *
+ * @param httpStatus the HTTP status
+ * @param outcome {@code answered}, {@code not-run} or {@code unknown}
+ * @param headers further headers
+ * @param body the body
+ */
+record ApiAnswer(int httpStatus, String outcome, List<HeaderProto> headers, ByteString body) {
+    static final String ANSWERED = "answered";
+    static final String NOT_RUN = "not-run";
+    static final String UNKNOWN = "unknown";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final HeaderProto JSON_TYPE = HeaderProto.newBuilder()
+            .setName("Content-Type")
+            .setValue("application/json")
+            .build();
+
+    static ObjectNode object() {
+        return JSON.createObjectNode();
+    }
+
+    static ApiAnswer json(int httpStatus, String outcome, ObjectNode body) {
+        try {
+            return new ApiAnswer(
+                    httpStatus,
+                    outcome,
+                    List.of(JSON_TYPE),
+                    ByteString.copyFrom(JSON.writeValueAsBytes(body)).concat(ByteString.copyFromUtf8("\n")));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("expected: a JSON object", e);
+        }
+    }
+
+    static ApiAnswer ok(ObjectNode body) {
+        return json(StatusCodes.OK, ANSWERED, body);
+    }
+
+    /** The request did not run and will not. */
+    static ApiAnswer refused(int httpStatus, String reason, String detail) {
+        return error(httpStatus, NOT_RUN, reason, detail);
+    }
+
+    /** The request may have run. */
+    static ApiAnswer unknown(String reason, String detail) {
+        return error(StatusCodes.GATEWAY_TIME_OUT, UNKNOWN, reason, detail);
+    }
+
+    private static ApiAnswer error(int httpStatus, String outcome, String reason, String detail) {
+        return json(
+                httpStatus,
+                outcome,
+                object().put("outcome", outcome).put("reason", reason).put("detail", detail));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/http/CallHandler.java
@@ -0,0 +1,153 @@
+package org.lovagegrade.entry.http;
+
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Consumer;
+import org.lovagegrade.entry.calls.CallOutcome;
+import org.lovagegrade.entry.calls.CallRefusal;
+import org.lovagegrade.entry.calls.CallRequest;
+import org.lovagegrade.entry.calls.CallService;
+import org.lovagegrade.entry.view.KeyDigest;
+import org.lovagegrade.entry.view.View;
+import org.lovagegrade.entry.view.ViewKeeper;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.wire.proto.HeaderProto;
+import org.lovagegrade.wire.proto.WorkClassProto;
+
+/** Takes calls in: checks the key before a byte is passed on, and answers with what is true. */
+final class CallHandler {
+    private static final String PREFIX = "/v1/call/";
+    private static final long DEFAULT_DEADLINE_MS = 10_000;
+    private static final long LONGEST_DEADLINE_MS = 30_000;
+    private static final Set<HttpString> NOT_PASSED_ON = Set.of(
+            Headers.HOST,
+            Headers.CONNECTION,
+            Headers.CONTENT_LENGTH,
+            Headers.TRANSFER_ENCODING,
+            Headers.UPGRADE,
+            Headers.EXPECT,
+            ApiHeaders.KEY,
+            ApiHeaders.CLASS,
+            ApiHeaders.IDEMPOTENT,
+            ApiHeaders.DEADLINE_MS);
+
+    private final CallService calls;
+    private final ViewKeeper views;
+    private final Clock clock;
+
+    CallHandler(CallService calls, ViewKeeper views, Clock clock) {
+        this.calls = calls;
+        this.views = views;
+        this.clock = clock;
+    }
+
+    void call(ApiRequest request, Consumer<ApiAnswer> reply) {
+        View view = views.view();
+        Optional<WorkClassProto> workClass = view.workClass(request.header(ApiHeaders.CLASS));
+        if (workClass.isEmpty()) {
+            CallRefusal reason = view.revision() == 0 ? CallRefusal.VIEW_LEASE_EXPIRED : CallRefusal.UNKNOWN_CLASS;
+            refuse(reason, reply);
+            return;
+        }
+        String digest = KeyDigest.of(request.header(ApiHeaders.KEY));
+        boolean isOpen = digest.isEmpty() && !workClass.get().getOpenTeam().isEmpty();
+        if (!isOpen && !views.isFresh()) {
+            refuse(CallRefusal.VIEW_LEASE_EXPIRED, reply);
+            return;
+        }
+        Optional<String> team = isOpen
+                ? Optional.of(workClass.get().getOpenTeam())
+                : view.key(digest).map(key -> key.getTeam());
+        if (team.isEmpty()) {
+            refuse(CallRefusal.WRONG_KEY, reply);
+            return;
+        }
+        String deadline = request.header(ApiHeaders.DEADLINE_MS);
+        if (!deadline.isEmpty() && !deadline.matches("[1-9][0-9]{0,8}")) {
+            refuse(CallRefusal.BAD_REQUEST, reply);
+            return;
+        }
+        calls.submit(
+                toCall(request, team.get(), workClass.get(), deadline), outcome -> reply.accept(toAnswer(outcome)));
+    }
+
+    private void refuse(CallRefusal reason, Consumer<ApiAnswer> reply) {
+        calls.countRefusal(reason);
+        reply.accept(ApiAnswer.refused(statusFor(reason), reason.text(), "the call did not run"));
+    }
+
+    private CallRequest toCall(ApiRequest request, String team, WorkClassProto workClass, String deadline) {
+        long nowMs = clock.nowMs();
+        long waitMs = deadline.isEmpty() ? DEFAULT_DEADLINE_MS : Long.parseLong(deadline);
+        long deadlineMs = nowMs + Math.min(waitMs, LONGEST_DEADLINE_MS);
+        long startByMs =
+                workClass.hasWaitTargetMs() ? Math.min(deadlineMs, nowMs + workClass.getWaitTargetMs()) : deadlineMs;
+        String service = request.pathPart("service");
+        String rest = request.exchange().getRequestURI().substring(PREFIX.length() + service.length());
+        String query = request.exchange().getQueryString();
+        HttpString method = request.exchange().getRequestMethod();
+        return new CallRequest(
+                UUID.randomUUID().toString(),
+                team,
+                workClass.getId(),
+                service,
+                method.toString(),
+                (rest.isEmpty() ? "/" : rest) + (query.isEmpty() ? "" : "?" + query),
+                passedHeaders(request),
+                request.body(),
+                isIdempotent(request, method),
+                deadlineMs,
+                startByMs);
+    }
+
+    private static boolean isIdempotent(ApiRequest request, HttpString method) {
+        String said = request.header(ApiHeaders.IDEMPOTENT);
+        boolean isByMethod = method.equals(Methods.GET) || method.equals(Methods.HEAD);
+        return said.isEmpty() ? isByMethod : said.equals("true");
+    }
+
+    private static List<HeaderProto> passedHeaders(ApiRequest request) {
+        List<HeaderProto> headers = new ArrayList<>();
+        for (HeaderValues values : request.exchange().getRequestHeaders()) {
+            if (NOT_PASSED_ON.contains(values.getHeaderName())) {
+                continue;
+            }
+            for (String value : values) {
+                headers.add(HeaderProto.newBuilder()
+                        .setName(values.getHeaderName().toString())
+                        .setValue(value)
+                        .build());
+            }
+        }
+        return headers;
+    }
+
+    private static ApiAnswer toAnswer(CallOutcome outcome) {
+        if (outcome instanceof CallOutcome.Answered answered) {
+            return new ApiAnswer(answered.httpStatus(), ApiAnswer.ANSWERED, answered.headers(), answered.body());
+        }
+        if (outcome instanceof CallOutcome.NotRun notRun) {
+            return ApiAnswer.refused(statusFor(notRun.reason()), notRun.reason().text(), "the call did not run");
+        }
+        return ApiAnswer.unknown(
+                ((CallOutcome.Unknown) outcome).reason().text(), "the call may have run; ask before sending it again");
+    }
+
+    private static int statusFor(CallRefusal reason) {
+        return switch (reason) {
+            case WRONG_KEY -> StatusCodes.UNAUTHORIZED;
+            case UNKNOWN_CLASS, BAD_REQUEST -> StatusCodes.BAD_REQUEST;
+            case BODY_TOO_LARGE -> StatusCodes.REQUEST_ENTITY_TOO_LARGE;
+            case TEAM_AT_LIMIT, LINE_FULL -> StatusCodes.TOO_MANY_REQUESTS;
+            default -> StatusCodes.SERVICE_UNAVAILABLE;
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/http/EntryHttp.java
@@ -0,0 +1,223 @@
+package org.lovagegrade.entry.http;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.lovagegrade.entry.calls.CallRefusal;
+import org.lovagegrade.entry.calls.CallService;
+import org.lovagegrade.entry.endpoints.EndpointDirectory;
+import org.lovagegrade.entry.state.StateClient;
+import org.lovagegrade.entry.view.ViewKeeper;
+import org.lovagegrade.entry.workers.HeartbeatRelay;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.Loop;
+import org.lovagegrade.kernel.Service;
+import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.kernel.settings.SettingsException;
+import org.lovagegrade.wire.Address;
+import org.lovagegrade.wire.proto.HeaderProto;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+
+/** The HTTP interface of an entry, for callers, operators, workers and endpoints. */
+public final class EntryHttp implements Service {
+    /** The name of this service. */
+    public static final String NAME = "entryHttp";
+
+    private static final long MOST_BODY_BYTES = 1024 * 1024;
+    private static final int READ_TIMEOUT_MS = 30_000;
+    private static final int PARSE_TIMEOUT_MS = 10_000;
+    private static final Set<HttpString> OWN_HEADERS =
+            Set.of(Headers.CONTENT_LENGTH, Headers.TRANSFER_ENCODING, Headers.CONNECTION, Headers.DATE);
+
+    private final Loop loop;
+    private final CallService calls;
+    private final StatusHandlers status;
+    private final Undertow server;
+    private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean leaving;
+
+    /** What the interface is made of. */
+    public record Parts(
+            Address listen,
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            Set<String> operatorKeyDigests,
+            StateClient state,
+            ViewKeeper views,
+            CallService calls,
+            EndpointDirectory directory,
+            Loop loop,
+            Clock clock,
+            Metrics metrics) {}
+
+    /**
+     * Creates the interface.
+     *
+     * @param parts what it is made of
+     */
+    public EntryHttp(Parts parts) {
+        this.loop = parts.loop();
+        this.calls = parts.calls();
+        Commands commands = new Commands(parts.state(), loop);
+        Operators operators = new Operators(parts.operatorKeyDigests());
+        this.status = new StatusHandlers(commands, operators, parts.views(), parts.directory(), calls, parts.metrics());
+        RoutingHandler routes = routes(
+                new ConfigHandlers(commands, operators, parts.views()),
+                new JobHandlers(commands, operators, parts.views(), calls),
+                new CallHandler(calls, parts.views(), parts.clock()),
+                new PlatformHandlers(new HeartbeatRelay(parts.state(), loop), parts.directory()));
+        this.server = Undertow.builder()
+                .addHttpListener(parts.listen().port(), parts.listen().host())
+                .setWorker(parts.worker())
+                .setByteBufferPool(parts.buffers())
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, READ_TIMEOUT_MS * 2)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setSocketOption(Options.READ_TIMEOUT, READ_TIMEOUT_MS * 2)
+                .setHandler(routes)
+                .build();
+    }
+
+    /** Tells balancer and callers that this entry is leaving; requests are still served. */
+    public void leave() {
+        leaving = true;
+        loop.execute(status::leave);
+    }
+
+    /**
+     * How many requests are being served.
+     *
+     * @return the number
+     */
+    public int open() {
+        return open.get();
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        server.start();
+    }
+
+    @Override
+    public void stop() {
+        server.stop();
+    }
+
+    private RoutingHandler routes(
+            ConfigHandlers config, JobHandlers jobs, CallHandler call, PlatformHandlers platform) {
+        RoutingHandler routes = new RoutingHandler();
+        add(routes, Methods.PUT, "/v1/teams/{id}", config::setTeam);
+        add(routes, Methods.DELETE, "/v1/teams/{id}", config::removeTeam);
+        add(routes, Methods.PUT, "/v1/classes/{id}", config::setClass);
+        add(routes, Methods.DELETE, "/v1/classes/{id}", config::removeClass);
+        add(routes, Methods.PUT, "/v1/keys/{id}", config::giveKey);
+        add(routes, Methods.DELETE, "/v1/keys/{id}", config::withdrawKey);
+        add(routes, Methods.GET, "/v1/config", config::show);
+        add(routes, Methods.POST, "/v1/jobs", jobs::submit);
+        add(routes, Methods.GET, "/v1/jobs", jobs::list);
+        add(routes, Methods.GET, "/v1/jobs/{id}", jobs::show);
+        add(routes, Methods.DELETE, "/v1/jobs/{id}", jobs::cancel);
+        add(routes, Methods.GET, "/v1/jobs/{id}/explain", jobs::explain);
+        add(routes, Methods.GET, "/v1/status", status::status);
+        add(routes, Methods.POST, "/v1/workers/heartbeat", platform::heartbeat);
+        add(routes, Methods.POST, "/v1/endpoints/announce", platform::announce);
+        add(routes, Methods.GET, "/healthz", status::health);
+        add(routes, Methods.GET, "/metrics", status::metrics);
+        for (HttpString method :
+                List.of(Methods.GET, Methods.HEAD, Methods.POST, Methods.PUT, Methods.DELETE, Methods.PATCH)) {
+            add(routes, method, "/v1/call/{service}", call::call);
+            add(routes, method, "/v1/call/{service}/*", call::call);
+        }
+        routes.setFallbackHandler(exchange -> receive(
+                exchange,
+                (_request, reply) ->
+                        reply.accept(ApiAnswer.refused(StatusCodes.NOT_FOUND, "unknownPath", "no such path"))));
+        routes.setInvalidMethodHandler(exchange -> receive(
+                exchange,
+                (_request, reply) -> reply.accept(ApiAnswer.refused(
+                        StatusCodes.METHOD_NOT_ALLOWED, "wrongMethod", "this path takes another method"))));
+        return routes;
+    }
+
+    private void add(RoutingHandler routes, HttpString method, String path, ApiHandler handler) {
+        routes.add(method, path, exchange -> receive(exchange, handler));
+    }
+
+    private void receive(HttpServerExchange exchange, ApiHandler handler) {
+        open.incrementAndGet();
+        exchange.addExchangeCompleteListener((_exchange, next) -> {
+            open.decrementAndGet();
+            next.proceed();
+        });
+        if (exchange.getRequestContentLength() > MOST_BODY_BYTES) {
+            exchange.setPersistent(false);
+            send(exchange, tooLarge());
+            return;
+        }
+        exchange.setMaxEntitySize(MOST_BODY_BYTES);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (received, body) -> received.dispatch(
+                                SameThreadExecutor.INSTANCE,
+                                () -> loop.execute(() -> handle(new ApiRequest(received, body), handler))),
+                        (received, _error) -> {
+                            received.setPersistent(false);
+                            send(received, tooLarge());
+                        });
+    }
+
+    private ApiAnswer tooLarge() {
+        loop.execute(() -> calls.countRefusal(CallRefusal.BODY_TOO_LARGE));
+        return ApiAnswer.refused(
+                StatusCodes.REQUEST_ENTITY_TOO_LARGE,
+                CallRefusal.BODY_TOO_LARGE.text(),
+                "expected: a whole body of at most " + MOST_BODY_BYTES + " bytes");
+    }
+
+    private void handle(ApiRequest request, ApiHandler handler) {
+        try {
+            handler.handle(request, answer -> reply(request, answer));
+        } catch (SettingsException e) {
+            calls.countRefusal(CallRefusal.BAD_REQUEST);
+            reply(request, ApiAnswer.refused(StatusCodes.BAD_REQUEST, CallRefusal.BAD_REQUEST.text(), e.getMessage()));
+        }
+    }
+
+    private void reply(ApiRequest request, ApiAnswer answer) {
+        request.exchange().getIoThread().execute(() -> send(request.exchange(), answer));
+    }
+
+    private void send(HttpServerExchange exchange, ApiAnswer answer) {
+        exchange.setStatusCode(answer.httpStatus());
+        for (HeaderProto header : answer.headers()) {
+            HttpString name = new HttpString(header.getName());
+            if (!OWN_HEADERS.contains(name)) {
+                exchange.getResponseHeaders().add(name, header.getValue());
+            }
+        }
+        exchange.getResponseHeaders().put(ApiHeaders.OUTCOME, answer.outcome());
+        if (leaving) {
+            exchange.setPersistent(false);
+        }
+        ByteBuffer body = answer.body().asReadOnlyByteBuffer();
+        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.remaining());
+        exchange.getResponseSender().send(body);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/http/JobHandlers.java
@@ -0,0 +1,254 @@
+package org.lovagegrade.entry.http;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.util.StatusCodes;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.lovagegrade.entry.calls.CallRefusal;
+import org.lovagegrade.entry.calls.CallService;
+import org.lovagegrade.entry.view.KeyDigest;
+import org.lovagegrade.entry.view.ViewKeeper;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.logging.Log;
+import org.lovagegrade.kernel.settings.Settings;
+import org.lovagegrade.kernel.settings.SettingsException;
+import org.lovagegrade.wire.proto.CancelProto;
+import org.lovagegrade.wire.proto.CommandProto;
+import org.lovagegrade.wire.proto.ExplainProto;
+import org.lovagegrade.wire.proto.JobProto;
+import org.lovagegrade.wire.proto.JobSpecProto;
+import org.lovagegrade.wire.proto.QueryKindProto;
+import org.lovagegrade.wire.proto.QueryReplyProto;
+import org.lovagegrade.wire.proto.QueryRequestProto;
+import org.lovagegrade.wire.proto.ResourcesProto;
+import org.lovagegrade.wire.proto.SubmitProto;
+import org.lovagegrade.wire.proto.TaskProto;
+import org.lovagegrade.wire.proto.TaskStateProto;
+
+/** Takes jobs in, cancels, shows and explains them. */
+final class JobHandlers {
+    private static final int MOST_TASKS = 10_000;
+    private static final double MOST_CORES = 1e6;
+    private static final double MILLI_CORES_PER_CORE = 1_000;
+    private static final long MOST_AMOUNT = 1L << 40;
+    private static final long MOST_RUN_MS = 365L * 24 * 3_600 * 1_000;
+
+    private final Commands commands;
+    private final Operators operators;
+    private final ViewKeeper views;
+    private final CallService calls;
+    private final Clock wallClock = Clock.wall();
+
+    JobHandlers(Commands commands, Operators operators, ViewKeeper views, CallService calls) {
+        this.commands = commands;
+        this.operators = operators;
+        this.views = views;
+        this.calls = calls;
+    }
+
+    void submit(ApiRequest request, Consumer<ApiAnswer> reply) throws SettingsException {
+        String requestId = request.header(ApiHeaders.REQUEST_ID);
+        if (!Ids.isGood(requestId)) {
+            reply.accept(ApiAnswer.refused(
+                    StatusCodes.BAD_REQUEST,
+                    "badRequest",
+                    "expected: a request id of " + Ids.EXPECTED + "; actual: '" + requestId + "'"));
+            return;
+        }
+        JobSpecProto.Builder spec = readSpec(request.json());
+        if (spec.getId().isEmpty()) {
+            spec.setId(requestId);
+        }
+        String digest = KeyDigest.of(request.header(ApiHeaders.KEY));
+        Optional<ApiAnswer> refusal = admit(spec, digest);
+        if (refusal.isPresent()) {
+            reply.accept(refusal.get());
+            return;
+        }
+        Log.event("submit")
+                .with("job", spec.getId())
+                .with("team", spec.getTeam())
+                .with("requestId", requestId)
+                .info();
+        SubmitProto submit =
+                SubmitProto.newBuilder().setSpec(spec).setKeySha256(digest).build();
+        commands.send(
+                CommandProto.newBuilder()
+                        .setRequestId(requestId)
+                        .setSubmit(submit)
+                        .build(),
+                reply);
+    }
+
+    void cancel(ApiRequest request, Consumer<ApiAnswer> reply) {
+        String requestId = request.header(ApiHeaders.REQUEST_ID);
+        if (!Ids.isGood(requestId)) {
+            reply.accept(ApiAnswer.refused(
+                    StatusCodes.BAD_REQUEST, "badRequest", "expected: a request id of " + Ids.EXPECTED));
+            return;
+        }
+        CancelProto.Builder cancel = CancelProto.newBuilder()
+                .setJob(request.pathPart("id"))
+                .setKeySha256(KeyDigest.of(request.header(ApiHeaders.KEY)));
+        if (operators.isOperator(request)) {
+            cancel.setOperator(operators.nameOf(request));
+        }
+        commands.send(
+                CommandProto.newBuilder()
+                        .setRequestId(requestId)
+                        .setCancel(cancel)
+                        .build(),
+                reply);
+    }
+
+    void list(ApiRequest request, Consumer<ApiAnswer> reply) {
+        commands.query(query(request, QueryKindProto.QUERY_JOBS), JobHandlers::describeAll, reply);
+    }
+
+    void show(ApiRequest request, Consumer<ApiAnswer> reply) {
+        commands.query(
+                query(request, QueryKindProto.QUERY_JOB),
+                found -> ApiAnswer.ok(describe(found.getJobs(0), ApiAnswer.object(), true)),
+                reply);
+    }
+
+    void explain(ApiRequest request, Consumer<ApiAnswer> reply) {
+        commands.query(query(request, QueryKindProto.QUERY_EXPLAIN), JobHandlers::describeWait, reply);
+    }
+
+    private QueryRequestProto query(ApiRequest request, QueryKindProto kind) {
+        return QueryRequestProto.newBuilder()
+                .setKind(kind)
+                .setJob(request.pathPart("id"))
+                .setKeySha256(KeyDigest.of(request.header(ApiHeaders.KEY)))
+                .setOperator(operators.isOperator(request))
+                .build();
+    }
+
+    private JobSpecProto.Builder readSpec(Settings body) throws SettingsException {
+        String id = body.optionalText("id", Ids.EXPECTED).orElse("");
+        if (!id.isEmpty() && !Ids.isGood(id)) {
+            body.reject("id", id, Ids.EXPECTED);
+        }
+        String team = body.optionalText("team", "a team's id").orElse("");
+        String workClass = body.text("class", "a class's id");
+        int tasks = body.integer("tasks", 1, 1, MOST_TASKS, "tasks");
+        double cores = body.decimal("cores", 0, MOST_CORES, "cores").orElse(0);
+        long memoryMb = body.whole("memoryMb", 0, MOST_AMOUNT, "megabytes").orElse(0);
+        long accelerators =
+                body.whole("accelerators", 0, MOST_AMOUNT, "accelerators").orElse(0);
+        long declaredRunMs =
+                body.whole("declaredRunMs", 0, MOST_RUN_MS, "milliseconds").orElse(0);
+        String payload = body.optionalText("payload", "a text for the worker").orElse("");
+        if (cores == 0 && memoryMb == 0 && accelerators == 0) {
+            body.reject("cores", "0", "cores, memoryMb or accelerators above 0");
+        }
+        body.finish();
+        ResourcesProto perTask = ResourcesProto.newBuilder()
+                .setMilliCores(Math.round(cores * MILLI_CORES_PER_CORE))
+                .setMemoryMb(memoryMb)
+                .setAccelerators(accelerators)
+                .build();
+        return JobSpecProto.newBuilder()
+                .setId(id)
+                .setTeam(team)
+                .setWorkClass(workClass)
+                .setTasks(tasks)
+                .setPerTask(perTask)
+                .setDeclaredRunMs(declaredRunMs)
+                .setPayload(payload)
+                .setSubmittedAtMs(wallClock.nowMs());
+    }
+
+    /** Refuses work without a key in force before anyone else hears of it; fills in the key's team. */
+    private Optional<ApiAnswer> admit(JobSpecProto.Builder spec, String digest) {
+        String openTeam = views.view()
+                .workClass(spec.getWorkClass())
+                .map(found -> found.getOpenTeam())
+                .orElse("");
+        if (digest.isEmpty() && !openTeam.isEmpty()) {
+            if (spec.getTeam().isEmpty()) {
+                spec.setTeam(openTeam);
+            }
+            return Optional.empty();
+        }
+        if (!views.isFresh()) {
+            calls.countRefusal(CallRefusal.VIEW_LEASE_EXPIRED);
+            return Optional.of(ApiAnswer.refused(
+                    StatusCodes.SERVICE_UNAVAILABLE,
+                    CallRefusal.VIEW_LEASE_EXPIRED.text(),
+                    "this entry has no proof of the keys in force; try another"));
+        }
+        Optional<String> team = views.view().key(digest).map(key -> key.getTeam());
+        if (team.isEmpty()) {
+            calls.countRefusal(CallRefusal.WRONG_KEY);
+            return Optional.of(ApiAnswer.refused(
+                    StatusCodes.UNAUTHORIZED, CallRefusal.WRONG_KEY.text(), "expected: a key in force"));
+        }
+        if (spec.getTeam().isEmpty()) {
+            spec.setTeam(team.get());
+        }
+        return Optional.empty();
+    }
+
+    private static ApiAnswer describeAll(QueryReplyProto found) {
+        ObjectNode body = ApiAnswer.object();
+        ArrayNode jobs = body.putArray("jobs");
+        found.getJobsList().forEach(job -> describe(job, jobs.addObject(), false));
+        return ApiAnswer.ok(body);
+    }
+
+    private static ObjectNode describe(JobProto job, ObjectNode node, boolean withTasks) {
+        JobSpecProto spec = job.getSpec();
+        long ended = job.getTasksList().stream()
+                .filter(task -> task.getState() == TaskStateProto.TASK_ENDED)
+                .count();
+        long held = job.getTasksList().stream()
+                .filter(task -> task.getState() == TaskStateProto.TASK_HELD)
+                .count();
+        node.put("id", spec.getId())
+                .put("team", spec.getTeam())
+                .put("class", spec.getWorkClass())
+                .put("state", job.getState().name().toLowerCase(Locale.ROOT))
+                .put("reason", job.getReason())
+                .put("tasks", spec.getTasks())
+                .put("running", held)
+                .put("ended", ended)
+                .put("cores", spec.getPerTask().getMilliCores() / MILLI_CORES_PER_CORE)
+                .put("memoryMb", spec.getPerTask().getMemoryMb())
+                .put("accelerators", spec.getPerTask().getAccelerators());
+        if (withTasks) {
+            ArrayNode tasks = node.putArray("taskList");
+            job.getTasksList().forEach(task -> describe(task, tasks.addObject()));
+        }
+        return node;
+    }
+
+    private static void describe(TaskProto task, ObjectNode node) {
+        String state = switch (task.getState()) {
+            case TASK_HELD -> task.getStopping() ? "stopping" : "running";
+            case TASK_ENDED -> "ended";
+            default -> "waiting";
+        };
+        node.put("index", task.getIndex())
+                .put("state", state)
+                .put("attempt", task.getAttempt())
+                .put("worker", task.getWorker())
+                .put("lastReason", task.getLastReason());
+    }
+
+    private static ApiAnswer describeWait(QueryReplyProto found) {
+        ExplainProto explain = found.getExplain();
+        ObjectNode node = ApiAnswer.object()
+                .put("id", found.getJobs(0).getSpec().getId())
+                .put("reason", explain.getReason())
+                .put("text", explain.getText())
+                .put("waitedMs", explain.getWaitedMs())
+                .put("waitTargetMs", explain.getWaitTargetMs())
+                .put("teamShare", explain.getTeamShare())
+                .put("teamUse", explain.getTeamUse());
+        return ApiAnswer.ok(node);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/lovagegrade/entry/http/StatusHandlers.java
@@ -0,0 +1,128 @@
+package org.lovagegrade.entry.http;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import io.undertow.util.StatusCodes;
+import java.util.List;
+import java.util.function.Consumer;
+import org.lovagegrade.entry.calls.CallService;
+import org.lovagegrade.entry.endpoints.EndpointDirectory;
+import org.lovagegrade.entry.view.ViewKeeper;
+import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.wire.proto.EndpointSummaryProto;
+import org.lovagegrade.wire.proto.EntryStatusProto;
+import org.lovagegrade.wire.proto.HeaderProto;
+import org.lovagegrade.wire.proto.QueryKindProto;
+import org.lovagegrade.wire.proto.QueryReplyProto;
+import org.lovagegrade.wire.proto.QueryRequestProto;
+import org.lovagegrade.wire.proto.WorkerStatusProto;
+
+/** Shows the state of the fleet and of this entry. */
+final class StatusHandlers {
+    private static final double MILLI_CORES_PER_CORE = 1_000;
+
+    private final Commands commands;
+    private final Operators operators;
+    private final ViewKeeper views;
+    private final EndpointDirectory directory;
+    private final CallService calls;
+    private final Metrics metrics;
+    private boolean leaving;
+
+    StatusHandlers(
+            Commands commands,
+            Operators operators,
+            ViewKeeper views,
+            EndpointDirectory directory,
+            CallService calls,
+            Metrics metrics) {
+        this.commands = commands;
+        this.operators = operators;
+        this.views = views;
+        this.directory = directory;
+        this.calls = calls;
+        this.metrics = metrics;
+    }
+
+    /** Tells the balancer from now on that this entry is leaving. */
+    void leave() {
+        leaving = true;
+    }
+
+    void status(ApiRequest request, Consumer<ApiAnswer> reply) {
+        QueryRequestProto query = QueryRequestProto.newBuilder()
+                .setKind(QueryKindProto.QUERY_STATUS)
+                .setOperator(operators.isOperator(request))
+                .build();
+        commands.query(query, this::describe, reply);
+    }
+
+    /** The balancer's question: 200 if this entry serves keyed work. */
+    void health(ApiRequest _request, Consumer<ApiAnswer> reply) {
+        ObjectNode body = ApiAnswer.object()
+                .put("inForce", views.isFresh())
+                .put("leaving", leaving)
+                .put("revision", views.view().revision());
+        boolean isGood = views.isFresh() && !leaving;
+        reply.accept(
+                ApiAnswer.json(isGood ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE, ApiAnswer.ANSWERED, body));
+    }
+
+    void metrics(ApiRequest _request, Consumer<ApiAnswer> reply) {
+        HeaderProto type = HeaderProto.newBuilder()
+                .setName("Content-Type")
+                .setValue("text/plain; version=0.0.4")
+                .build();
+        reply.accept(new ApiAnswer(
+                StatusCodes.OK, ApiAnswer.ANSWERED, List.of(type), ByteString.copyFromUtf8(metrics.scrape())));
+    }
+
+    private ApiAnswer describe(QueryReplyProto found) {
+        ObjectNode body = ApiAnswer.object()
+                .put("leader", found.getLeader())
+                .put("revision", found.getRevision())
+                .put("commitIndex", found.getCommitIndex())
+                .put("callsHere", calls.unanswered());
+        ArrayNode voters = body.putArray("voters");
+        found.getMembership().getVotersList().forEach(voters::add);
+        ArrayNode learners = body.putArray("learners");
+        found.getMembership().getLearnersList().forEach(learners::add);
+        ArrayNode entries = body.putArray("entries");
+        found.getEntriesList().forEach(entry -> describe(entry, entries.addObject()));
+        ArrayNode workers = body.putArray("workers");
+        found.getWorkersList().forEach(worker -> describe(worker, workers.addObject()));
+        ArrayNode endpoints = body.putArray("endpointsHere");
+        directory.summaries().forEach(endpoint -> describe(endpoint, endpoints.addObject()));
+        return ApiAnswer.ok(body);
+    }
+
+    private static void describe(EntryStatusProto entry, ObjectNode node) {
+        node.put("id", entry.getMember().getId())
+                .put("failureDomain", entry.getMember().getFailureDomain())
+                .put("revision", entry.getRevision())
+                .put("heardMsAgo", entry.getHeardMsAgo());
+    }
+
+    private static void describe(WorkerStatusProto worker, ObjectNode node) {
+        node.put("id", worker.getId())
+                .put("failureDomain", worker.getFailureDomain())
+                .put("rack", worker.getRack())
+                .put("cores", worker.getCapacity().getMilliCores() / MILLI_CORES_PER_CORE)
+                .put("freeCores", worker.getFree().getMilliCores() / MILLI_CORES_PER_CORE)
+                .put("memoryMb", worker.getCapacity().getMemoryMb())
+                .put("freeMemoryMb", worker.getFree().getMemoryMb())
+                .put("tasks", worker.getTasks())
+                .put("silent", worker.getSilent())
+                .put("suspect", worker.getSuspect());
+    }
+
+    private static void describe(EndpointSummaryProto endpoint, ObjectNode node) {
+        node.put("id", endpoint.getId())
+                .put("service", endpoint.getService())
+                .put("slots", endpoint.getSlots())
+                .put("free", endpoint.getFree())
+                .put("usable", endpoint.getUsable())
+                .put("epoch", endpoint.getEpoch());
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/lovagegrade/kernel/http/HttpCaller.java
@@ -0,0 +1,143 @@
+package org.lovagegrade.kernel.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * A plain HTTP client for programs that wait for each answer; every request has a connection of its own.
+ *
+ * <p>Example: {@code HttpResult result = caller.call("127.0.0.1:8080", "GET", "/healthz", List.of(), "", 2_000);}
+ */
+public final class HttpCaller implements AutoCloseable {
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
+
+    private HttpCaller(XnioWorker worker) {
+        this.worker = worker;
+    }
+
+    /**
+     * Creates a client with one network thread.
+     *
+     * @return the client
+     */
+    public static HttpCaller create() {
+        try {
+            return new HttpCaller(Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, 1)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.TCP_NODELAY, true)
+                            .set(Options.THREAD_DAEMON, true)
+                            .getMap()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Sends a request and waits.
+     *
+     * @param address {@code host:port}
+     * @param method the HTTP method
+     * @param path the path and query
+     * @param headers further headers
+     * @param body the body
+     * @param timeoutMs how long to wait, in milliseconds
+     * @return what became of it
+     */
+    public HttpResult call(
+            String address, String method, String path, List<HttpHeader> headers, byte[] body, long timeoutMs) {
+        CompletableFuture<HttpResult> result = start(address, method, path, headers, body);
+        try {
+            return result.get(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            result.complete(new HttpResult.Lost(HttpResult.Loss.ABANDONED));
+            return result.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new HttpResult.Lost(HttpResult.Loss.ABANDONED);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("expected: a result as a value", e);
+        }
+    }
+
+    /**
+     * Sends a request without waiting; completing the result early abandons it.
+     *
+     * @param address {@code host:port}
+     * @param method the HTTP method
+     * @param path the path and query
+     * @param headers further headers
+     * @param body the body
+     * @return completes with what became of it, on a network thread
+     */
+    public CompletableFuture<HttpResult> start(
+            String address, String method, String path, List<HttpHeader> headers, byte[] body) {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+        request.getRequestHeaders().put(Headers.HOST, address);
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        headers.forEach(header -> request.getRequestHeaders().add(new HttpString(header.name()), header.value()));
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<>() {
+                            @Override
+                            public void completed(ClientConnection connection) {
+                                send(connection, request, body, result);
+                            }
+
+                            @Override
+                            public void failed(IOException _error) {
+                                result.complete(new HttpResult.NotSent());
+                            }
+                        },
+                        URI.create("http://" + address),
+                        worker,
+                        buffers,
+                        OptionMap.EMPTY);
+        return result;
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+    }
+
+    private static void send(
+            ClientConnection connection, ClientRequest request, byte[] body, CompletableFuture<HttpResult> result) {
+        if (result.isDone()) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        HttpAttempt attempt = HttpAttempt.send(connection, request, ByteBuffer.wrap(body), answer -> {
+            connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+            result.complete(answer);
+        });
+        result.thenRun(attempt::abandon);
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/lovagegrade/state/StateSettings.java
@@ -0,0 +1,87 @@
+package org.lovagegrade.state;
+
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lovagegrade.kernel.settings.Settings;
+import org.lovagegrade.kernel.settings.SettingsException;
+import org.lovagegrade.state.consensus.RaftTimings;
+import org.lovagegrade.wire.Address;
+
+/**
+ * The settings of {@code lovagegrade-state}.
+ *
+ * @param replicaName this replica's name
+ * @param group the number of its consensus group
+ * @param dataFolder where its files live
+ * @param listen where it listens for the project's own processes
+ * @param status where it serves metrics and health
+ * @param replicas all replicas by name, with the addresses at which this one reaches them
+ * @param timings the times of the group
+ */
+public record StateSettings(
+        String replicaName,
+        int group,
+        Path dataFolder,
+        Address listen,
+        Address status,
+        Map<String, Address> replicas,
+        RaftTimings timings) {
+    private static final int MAX_PORT = 65_535;
+    private static final int MAX_GROUP = 1_000;
+    private static final int LEAST_HEARTBEAT_MS = 10;
+    private static final int MOST_HEARTBEAT_MS = 1_000;
+    private static final int DEFAULT_HEARTBEAT_MS = 100;
+    private static final int LEAST_ELECTION_MS = 100;
+    private static final int MOST_ELECTION_MS = 10_000;
+    private static final int DEFAULT_ELECTION_MS = 1_000;
+
+    /**
+     * Reads and checks the settings.
+     *
+     * @param settings the file
+     * @return the settings
+     * @throws SettingsException if any value is bad
+     */
+    public static StateSettings from(Settings settings) throws SettingsException {
+        String name = settings.text("replicaName", "the name of this replica, one of replicas[].name");
+        int group = settings.integer("group", 1, 1, MAX_GROUP, "group number");
+        String folder = settings.text("dataFolder", "the path of the data folder");
+        String host = settings.text("listenHost", "the IP number to listen at");
+        int port = settings.integer("listenPort", 1, MAX_PORT, "port number");
+        int statusPort = settings.integer("statusPort", 1, MAX_PORT, "port number");
+        int heartbeatMs = settings.integer(
+                "heartbeatMs", DEFAULT_HEARTBEAT_MS, LEAST_HEARTBEAT_MS, MOST_HEARTBEAT_MS, "milliseconds");
+        int electionMs = settings.integer(
+                "electionTimeoutMs", DEFAULT_ELECTION_MS, LEAST_ELECTION_MS, MOST_ELECTION_MS, "milliseconds");
+        Map<String, Address> replicas = readReplicas(settings);
+        if (!replicas.containsKey(name)) {
+            settings.reject("replicaName", name, "one of " + replicas.keySet());
+        }
+        if (electionMs < heartbeatMs * 2) {
+            settings.reject("electionTimeoutMs", "" + electionMs, "at least twice heartbeatMs, unit: milliseconds");
+        }
+        settings.finish();
+        return new StateSettings(
+                name,
+                group,
+                Path.of(folder),
+                new Address(host, port),
+                new Address(host, statusPort),
+                Map.copyOf(replicas),
+                RaftTimings.of(heartbeatMs, electionMs));
+    }
+
+    private static Map<String, Address> readReplicas(Settings settings) {
+        Map<String, Address> replicas = new TreeMap<>();
+        for (Settings replica : settings.objects("replicas", "a list of {name, address}")) {
+            String name = replica.text("name", "the replica's name");
+            String address = replica.text("address", "host:port");
+            Address.parse(address)
+                    .ifPresentOrElse(
+                            parsed -> replicas.put(name, parsed),
+                            () -> replica.reject("address", address, "host:port"));
+        }
+        return replicas;
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
@@ -0,0 +1,42 @@
+package org.lovagegrade.state.machine;
+
+/** Why the state machine refused a command; a refused command changed nothing. */
+public enum RefusalReason {
+    /** The key is not known or was withdrawn. */
+    WRONG_KEY("wrongKey"),
+    /** The key belongs to another team than the work names. */
+    KEY_OF_OTHER_TEAM("keyOfOtherTeam"),
+    /** No such team. */
+    UNKNOWN_TEAM("unknownTeam"),
+    /** No such class. */
+    UNKNOWN_CLASS("unknownClass"),
+    /** No such job. */
+    UNKNOWN_JOB("unknownJob"),
+    /** No such key id. */
+    UNKNOWN_KEY_ID("unknownKeyId"),
+    /** A job of this id exists. */
+    DUPLICATE_JOB("duplicateJob"),
+    /** A value is out of its bounds. */
+    BAD_VALUE("badValue"),
+    /** The object is still used by others. */
+    STILL_IN_USE("stillInUse"),
+    /** The change was based on an older revision. */
+    REVISION_CONFLICT("revisionConflict"),
+    /** The job is over. */
+    JOB_IS_OVER("jobIsOver");
+
+    private final String text;
+
+    RefusalReason(String text) {
+        this.text = text;
+    }
+
+    /**
+     * The name in answers and logs.
+     *
+     * @return the name in camelCase
+     */
+    public String text() {
+        return text;
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/StatusQueries.java
@@ -0,0 +1,156 @@
+package org.lovagegrade.state.scheduling;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.lovagegrade.core.Explanation;
+import org.lovagegrade.state.machine.RefusalReason;
+import org.lovagegrade.state.machine.StateMachine;
+import org.lovagegrade.wire.proto.ExplainProto;
+import org.lovagegrade.wire.proto.JobProto;
+import org.lovagegrade.wire.proto.OutcomeStatusProto;
+import org.lovagegrade.wire.proto.QueryReplyProto;
+import org.lovagegrade.wire.proto.QueryRequestProto;
+import org.lovagegrade.wire.proto.WorkerStatusProto;
+
+/** Answers questions about jobs and the fleet from the leader's state. */
+public final class StatusQueries {
+    private static final double PERCENT = 100.0;
+
+    private final StateMachine machine;
+    private final LeaderDuties duties;
+    private final EntryViews views;
+
+    /**
+     * Creates the answers' source.
+     *
+     * @param machine the state
+     * @param duties the leader's scheduler
+     * @param views what entries said
+     */
+    public StatusQueries(StateMachine machine, LeaderDuties duties, EntryViews views) {
+        this.machine = machine;
+        this.duties = duties;
+        this.views = views;
+    }
+
+    /**
+     * Answers a question; a team sees only its own jobs.
+     *
+     * @param query the question
+     * @param nowMs the present time in milliseconds
+     * @return the answer
+     */
+    public QueryReplyProto answer(QueryRequestProto query, long nowMs) {
+        Optional<String> team = machine.teamOfKey(query.getKeySha256());
+        if (!query.getOperator() && team.isEmpty()) {
+            return refused(RefusalReason.WRONG_KEY);
+        }
+        return switch (query.getKind()) {
+            case QUERY_JOB -> job(query, team);
+            case QUERY_JOBS -> jobs(query, team);
+            case QUERY_EXPLAIN -> explain(query, team, nowMs);
+            case QUERY_STATUS -> status(nowMs);
+            default -> refused(RefusalReason.BAD_VALUE);
+        };
+    }
+
+    private static QueryReplyProto refused(RefusalReason reason) {
+        return QueryReplyProto.newBuilder()
+                .setStatus(OutcomeStatusProto.REFUSED)
+                .setReason(reason.text())
+                .build();
+    }
+
+    private QueryReplyProto job(QueryRequestProto query, Optional<String> team) {
+        return visibleJob(query, team)
+                .map(job -> QueryReplyProto.newBuilder().addJobs(job).build())
+                .orElseGet(() -> refused(RefusalReason.UNKNOWN_JOB));
+    }
+
+    private Optional<JobProto> visibleJob(QueryRequestProto query, Optional<String> team) {
+        return machine.job(query.getJob())
+                .filter(job -> query.getOperator()
+                        || team.equals(Optional.of(job.getSpec().getTeam())));
+    }
+
+    private QueryReplyProto jobs(QueryRequestProto query, Optional<String> team) {
+        QueryReplyProto.Builder reply = QueryReplyProto.newBuilder();
+        machine.jobs().stream()
+                .filter(job -> query.getOperator()
+                        || team.equals(Optional.of(job.getSpec().getTeam())))
+                .forEach(job -> reply.addJobs(job.build()));
+        return reply.build();
+    }
+
+    private QueryReplyProto explain(QueryRequestProto query, Optional<String> team, long nowMs) {
+        Optional<JobProto> job = visibleJob(query, team);
+        if (job.isEmpty()) {
+            return refused(RefusalReason.UNKNOWN_JOB);
+        }
+        Optional<Explanation> explanation = duties.explain(query.getJob(), nowMs);
+        ExplainProto.Builder explain = ExplainProto.newBuilder();
+        if (explanation.isEmpty()) {
+            explain.setReason(job.get().getReason())
+                    .setText("the job is over: " + job.get().getReason());
+        } else {
+            Explanation found = explanation.get();
+            explain.setReason(found.reason().text())
+                    .setText(inWords(found, job.get()))
+                    .setWaitedMs(found.waitedMs())
+                    .setWaitTargetMs(found.waitTargetMs())
+                    .setTeamShare(found.teamShare())
+                    .setTeamUse(found.teamUse());
+        }
+        return QueryReplyProto.newBuilder()
+                .addJobs(job.get())
+                .setExplain(explain)
+                .build();
+    }
+
+    private static String inWords(Explanation explanation, JobProto job) {
+        String missing = String.format(
+                Locale.ROOT,
+                "%d of %d tasks wait, each needs %.3f cores, %d MB, %d accelerators",
+                explanation.waitingTasks(),
+                job.getTasksCount(),
+                job.getSpec().getPerTask().getMilliCores() / 1_000.0,
+                job.getSpec().getPerTask().getMemoryMb(),
+                job.getSpec().getPerTask().getAccelerators());
+        String team = String.format(
+                Locale.ROOT,
+                "; its team uses %.1f%% of the cell, its share is %.1f%%",
+                explanation.teamUse() * PERCENT,
+                explanation.teamShare() * PERCENT);
+        return switch (explanation.reason()) {
+            case NOT_WAITING -> "nothing waits: all tasks are placed or have ended";
+            case NO_ROOM -> "no worker has room: " + missing + team;
+            case TEAM_AT_LIMIT -> "the team is at its limit: " + missing + team;
+            case BACKING_OFF -> "its tasks failed and are tried again after a pause";
+            case LARGER_THAN_ANY_WORKER -> "set aside until a large enough worker is announced: " + missing;
+            case LARGER_THAN_CELL -> "set aside until there are enough workers to run all tasks at once: " + missing;
+            case LARGER_THAN_TEAM_LIMIT -> "set aside until its team's limit is raised: " + missing;
+            case CANCELLED -> "it was cancelled; what runs is being stopped";
+            case FAILED_TOO_OFTEN -> "its tasks failed too often on workers that run others well";
+            default -> explanation.reason().text();
+        };
+    }
+
+    private QueryReplyProto status(long nowMs) {
+        QueryReplyProto.Builder reply = QueryReplyProto.newBuilder().setRevision(machine.revision());
+        duties.scheduler()
+                .view()
+                .forEachWorker(worker -> reply.addWorkers(WorkerStatusProto.newBuilder()
+                        .setId(worker.id())
+                        .setFailureDomain(worker.failureDomain())
+                        .setRack(worker.rack())
+                        .setCapacity(ProtoMapping.resources(worker.capacity()))
+                        .setFree(ProtoMapping.resources(worker.free()))
+                        .setSilent(worker.silent())
+                        .setSuspect(worker.suspect())
+                        .setTasks(worker.tasks())));
+        machine.entries().values().stream()
+                .sorted((a, b) -> a.getId().compareTo(b.getId()))
+                .forEach(entry -> reply.addEntries(views.status(entry, nowMs)));
+        return reply.build();
+    }
+}
--- /dev/null
+++ b/wire/generate.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Regenerates the committed protobuf classes. Usage: wire/generate.sh PROTOC
+set -euo pipefail
+cd "$(dirname "$0")"
+rm -rf src/main/generated
+mkdir -p src/main/generated
+"$1" --proto_path=src/main/proto --java_out=src/main/generated src/main/proto/*.proto
--- /dev/null
+++ b/wire/src/main/java/org/lovagegrade/wire/Address.java
@@ -0,0 +1,56 @@
+package org.lovagegrade.wire;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/**
+ * Where a process listens.
+ *
+ * <p>Example: {@code Address.parse("127.0.0.1:7101").orElseThrow().port()} is 7101.
+ *
+ * @param host an IP number or a host name
+ * @param port a port number from 0 to 65535
+ */
+public record Address(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the parts. */
+    public Address {
+        if (host.isBlank() || port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException(
+                    "expected: a host and a port from 0 to " + MAX_PORT + "\n  actual: " + host + ":" + port);
+        }
+    }
+
+    /**
+     * Reads an address.
+     *
+     * @param text {@code host:port}
+     * @return the address, or nothing if the text is none
+     */
+    public static Optional<Address> parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Converts to the type that sockets take.
+     *
+     * @return the socket address, to be resolved by the network library
+     */
+    public InetSocketAddress toSocketAddress() {
+        return InetSocketAddress.createUnresolved(host, port);
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/lovagegrade/wire/RpcLink.java
@@ -0,0 +1,251 @@
+package org.lovagegrade.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.wire.internal.EnvelopeCodec;
+import org.lovagegrade.wire.internal.PendingRequest;
+import org.lovagegrade.wire.proto.EnvelopeProto;
+
+/**
+ * A link to one other process: connects when used, probes the connection, and replaces one that went silent.
+ *
+ * <p>Example: {@code link.call(request, 500).thenAccept(result -> ...);} All methods may be called from any thread;
+ * futures complete on the network thread.
+ */
+public final class RpcLink {
+    private static final int CONNECT_TIMEOUT_MS = 700;
+    private static final long PROBE_INTERVAL_MS = 500;
+    private static final long SILENCE_TIMEOUT_MS = 1_500;
+    private static final long RECONNECT_PAUSE_MS = 100;
+    private static final int MAX_QUEUED = 1_024;
+
+    private final EventLoop loop;
+    private final Address address;
+    private final Clock clock;
+    private final Deque<PendingRequest> queued = new ArrayDeque<>();
+    private final Map<Long, PendingRequest> sent = new HashMap<>();
+    private Channel channel;
+    private boolean connecting;
+    private boolean closed;
+    private long nextCorrelationId = 1;
+    private long lastHeardMs;
+    private long lastFailedMs;
+
+    private RpcLink(Loops loops, Address address, Clock clock) {
+        this.loop = loops.group().next();
+        this.address = address;
+        this.clock = clock;
+        this.lastFailedMs = clock.nowMs() - RECONNECT_PAUSE_MS;
+        loop.scheduleWithFixedDelay(this::probe, PROBE_INTERVAL_MS, PROBE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Creates a link; it connects with its first message.
+     *
+     * @param loops the network threads
+     * @param address the other process
+     * @param clock a monotonic clock
+     * @return the link
+     */
+    public static RpcLink to(Loops loops, Address address, Clock clock) {
+        return new RpcLink(loops, address, clock);
+    }
+
+    /**
+     * Tells where this link leads.
+     *
+     * @return the address of the other process
+     */
+    public Address address() {
+        return address;
+    }
+
+    /**
+     * Sends a request and waits for its answer.
+     *
+     * @param request the request; its correlation id is set here
+     * @param timeoutMs how long to wait, in milliseconds
+     * @return completes with the result, never exceptionally
+     */
+    public CompletableFuture<RpcResult> call(EnvelopeProto request, long timeoutMs) {
+        CompletableFuture<RpcResult> result = new CompletableFuture<>();
+        loop.execute(() -> enqueue(PendingRequest.expecting(request, clock.nowMs() + timeoutMs, result)));
+        loop.schedule(() -> expire(result), timeoutMs, TimeUnit.MILLISECONDS);
+        return result;
+    }
+
+    /**
+     * Sends a message that has no answer; it is dropped if the link is down or congested.
+     *
+     * @param message the message
+     */
+    public void send(EnvelopeProto message) {
+        loop.execute(() -> enqueue(PendingRequest.oneWay(message, clock.nowMs() + SILENCE_TIMEOUT_MS)));
+    }
+
+    /** Closes the link for good; what waits on it is told so. */
+    public void close() {
+        loop.execute(() -> {
+            closed = true;
+            disconnect("link closed");
+        });
+    }
+
+    private void enqueue(PendingRequest request) {
+        if (closed || queued.size() >= MAX_QUEUED) {
+            request.notSent(closed ? "link closed" : "link congested");
+            return;
+        }
+        queued.add(request);
+        flushOrConnect();
+    }
+
+    private void flushOrConnect() {
+        if (channel == null) {
+            connect();
+            return;
+        }
+        while (!queued.isEmpty() && channel.isWritable()) {
+            transmit(queued.poll());
+        }
+        channel.flush();
+    }
+
+    private void transmit(PendingRequest request) {
+        if (request.isDone(clock.nowMs())) {
+            request.notSent("timed out before it was sent");
+            return;
+        }
+        long correlationId = nextCorrelationId++;
+        if (request.expectsAnswer()) {
+            sent.put(correlationId, request);
+        }
+        channel.write(
+                request.message().toBuilder().setCorrelationId(correlationId).build());
+    }
+
+    private void connect() {
+        if (connecting || closed) {
+            return;
+        }
+        if (clock.nowMs() - lastFailedMs < RECONNECT_PAUSE_MS) {
+            failQueued("connection to " + address + " failed just now");
+            return;
+        }
+        connecting = true;
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        EnvelopeCodec.addTo(fresh.pipeline());
+                        fresh.pipeline().addLast(new Answers());
+                    }
+                })
+                .connect(address.toSocketAddress())
+                .addListener((ChannelFuture attempt) -> connected(attempt));
+    }
+
+    private void connected(ChannelFuture attempt) {
+        connecting = false;
+        if (!attempt.isSuccess()) {
+            lastFailedMs = clock.nowMs();
+            failQueued("no connection to " + address);
+            return;
+        }
+        channel = attempt.channel();
+        lastHeardMs = clock.nowMs();
+        flushOrConnect();
+    }
+
+    private void failQueued(String reason) {
+        List<PendingRequest> failed = List.copyOf(queued);
+        queued.clear();
+        failed.forEach(request -> request.notSent(reason));
+    }
+
+    private void probe() {
+        if (channel == null) {
+            return;
+        }
+        if (clock.nowMs() - lastHeardMs > SILENCE_TIMEOUT_MS) {
+            disconnect("connection to " + address + " went silent");
+            return;
+        }
+        channel.writeAndFlush(EnvelopeProto.getDefaultInstance());
+    }
+
+    private void disconnect(String reason) {
+        Channel former = channel;
+        channel = null;
+        if (former != null) {
+            former.close();
+        }
+        List<PendingRequest> lost = List.copyOf(sent.values());
+        sent.clear();
+        lost.forEach(request -> request.lost(reason));
+        if (closed) {
+            failQueued(reason);
+        }
+    }
+
+    private void expire(CompletableFuture<RpcResult> result) {
+        if (result.isDone()) {
+            return;
+        }
+        boolean wasQueued = queued.removeIf(request -> request.completes(result));
+        sent.values().removeIf(request -> request.completes(result));
+        result.complete(
+                wasQueued
+                        ? new RpcResult.NotSent("timed out before it was sent")
+                        : new RpcResult.Lost("no answer from " + address + " in time"));
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<EnvelopeProto> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext _context, EnvelopeProto answer) {
+            lastHeardMs = clock.nowMs();
+            PendingRequest request = sent.remove(answer.getCorrelationId());
+            if (request != null) {
+                request.answered(answer);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (context.channel() == channel) {
+                flushOrConnect();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (context.channel() == channel) {
+                disconnect("connection to " + address + " broke");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable _cause) {
+            context.close();
+        }
+    }
+}
