--- a/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
@@ -17,10 +17,10 @@
      * @param id the team's id
      * @param share its share
      * @param used what it holds
-     * @param waiting whether it has work waiting for room
-     * @param firstWaiting what the first waiting placement needs at once, or {@link Resources#NONE}
+     * @param waiting whether it has work waiting
+     * @param waitsForRoom whether any of that work was tried and found no room
      */
-    public record TeamView(String id, double share, Resources used, boolean waiting, Resources firstWaiting) {}
+    public record TeamView(String id, double share, Resources used, boolean waiting, boolean waitsForRoom) {}
 
     /**
      * One worker's state.
@@ -51,13 +51,12 @@
      */
     public void forEachTeam(Consumer<TeamView> visitor) {
         for (TeamState team : cell.teams()) {
-            JobState first = team.waiting.firstParked();
             visitor.accept(new TeamView(
                     team.spec.id(),
                     team.spec.share(),
                     team.used,
                     !team.waiting.isEmpty(),
-                    first == null ? Resources.NONE : first.neededAtOnce()));
+                    team.waiting.hasParkedForRoom()));
         }
     }
 
--- a/core/src/main/java/org/lovagegrade/core/internal/JobState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/JobState.java
@@ -29,6 +29,7 @@
     boolean cancelled;
     boolean setAside;
     boolean failedForGood;
+    boolean parkedForRoom;
     Reason waitReason = Reason.NOT_WAITING;
     long notBeforeMs;
     long waitingSinceMs;
--- a/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.lovagegrade.core.Reason;
 import org.lovagegrade.core.Resources;
 
 /**
@@ -21,6 +22,7 @@
     private final TreeSet<JobState> parked;
     private final TreeMap<Integer, TreeSet<JobState>> groups = new TreeMap<>();
     private final TreeSet<JobState> parkedGangs;
+    private int parkedForRoom;
 
     WaitingJobs(Comparator<JobState> order) {
         this.order = order;
@@ -37,6 +39,8 @@
     void park(JobState job) {
         remove(job);
         parked.add(job);
+        job.parkedForRoom = job.waitReason == Reason.NO_ROOM;
+        parkedForRoom += job.parkedForRoom ? 1 : 0;
         if (job.isGang()) {
             parkedGangs.add(job);
             return;
@@ -50,6 +54,7 @@
         if (open.remove(job) || !parked.remove(job)) {
             return;
         }
+        parkedForRoom -= job.parkedForRoom ? 1 : 0;
         if (job.isGang()) {
             parkedGangs.remove(job);
             return;
@@ -82,6 +87,11 @@
         return parkedGangs;
     }
 
+    /** Whether any job waits that found no room. */
+    boolean hasParkedForRoom() {
+        return parkedForRoom > 0;
+    }
+
     boolean isEmpty() {
         return open.isEmpty() && parked.isEmpty();
     }
--- /dev/null
+++ b/replay/src/main/java/org/lovagegrade/replay/ReplayMain.java
@@ -0,0 +1,214 @@
+package org.lovagegrade.replay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryPoolMXBean;
+import java.lang.management.MemoryType;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.LongConsumer;
+import me.tongfei.progressbar.ProgressBar;
+import me.tongfei.progressbar.ProgressBarBuilder;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.lovagegrade.core.Decision;
+import org.lovagegrade.core.Policy;
+import org.lovagegrade.replay.internal.ReplayLoop;
+import org.lovagegrade.replay.internal.ReplayResult;
+import org.lovagegrade.replay.report.HtmlReport;
+import org.lovagegrade.replay.trace.MalformedTraceException;
+import org.lovagegrade.replay.trace.TraceLine;
+import org.lovagegrade.replay.trace.TraceReader;
+
+/** The program {@code lovagegrade-replay}: feeds a trace to the decision core and checks the stated outcomes. */
+public final class ReplayMain {
+    /** The exit code when all outcomes were met. */
+    public static final int EXIT_MET = 0;
+
+    /** The exit code when an outcome was missed or a promise broken. */
+    public static final int EXIT_MISSED = 1;
+
+    /** The exit code for a bad command line or a malformed trace. */
+    public static final int EXIT_BAD_INPUT = 2;
+
+    private static final int LINES_FOR_PROGRESS_BAR = 20_000;
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double BYTES_PER_MB = 1024.0 * 1024.0;
+
+    private final PrintStream out;
+    private final PrintStream err;
+
+    /**
+     * Creates the program.
+     *
+     * @param out where the summary goes
+     * @param err where problems go
+     */
+    public ReplayMain(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    /**
+     * Runs the program and exits.
+     *
+     * @param args the command line; see {@code --help}
+     */
+    public static void main(String[] args) {
+        System.setProperty("java.awt.headless", "true");
+        System.exit(new ReplayMain(System.out, System.err).run(args));
+    }
+
+    /**
+     * Runs the program.
+     *
+     * @param args the command line
+     * @return the exit code
+     */
+    public int run(String... args) {
+        Options options = options();
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (line.hasOption("help")) {
+                HelpFormatter.builder().get().printHelp("lovagegrade-replay --trace FILE", "", options, "", false);
+                return EXIT_MET;
+            }
+            return run(line);
+        } catch (ParseException | MalformedTraceException e) {
+            err.println(e.getMessage());
+            return EXIT_BAD_INPUT;
+        } catch (IOException e) {
+            err.println(e.toString());
+            return EXIT_BAD_INPUT;
+        }
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption(null, "trace", true, "the trace, JSON lines");
+        options.addOption(null, "policy", true, "the policy; default: current");
+        options.addOption(null, "start-delay-ms", true, "how long a placed task takes to start; default: 0");
+        options.addOption(null, "decisions", true, "write the decisions to this file");
+        options.addOption(null, "report", true, "write a page that compares all policies to this folder");
+        options.addOption(null, "json", false, "print the summary as one JSON object");
+        options.addOption(null, "help", false, "show this help");
+        return options;
+    }
+
+    private int run(CommandLine line) throws ParseException, MalformedTraceException, IOException {
+        if (!line.hasOption("trace")) {
+            throw new ParseException("expected: --trace FILE");
+        }
+        String name = line.getOptionValue("policy", "current");
+        Optional<Policy> policy = Policy.named(name);
+        if (policy.isEmpty()) {
+            throw new ParseException("expected: one of "
+                    + Policy.all().stream().map(Policy::name).toList() + "\n  actual: --policy " + name);
+        }
+        long startDelayMs = startDelayMs(line);
+        Path trace = Path.of(line.getOptionValue("trace"));
+        List<TraceLine> lines = TraceReader.read(trace, err::println);
+        Run run;
+        if (line.hasOption("decisions")) {
+            try (DecisionWriter writer = DecisionWriter.to(Path.of(line.getOptionValue("decisions")))) {
+                run = replay(lines, policy.get(), startDelayMs, writer::write);
+            }
+        } else {
+            run = replay(lines, policy.get(), startDelayMs, (_atMs, _decision) -> {});
+        }
+        print(line, run);
+        if (line.hasOption("report")) {
+            report(trace, lines, startDelayMs, Path.of(line.getOptionValue("report")));
+        }
+        return judge(lines, run);
+    }
+
+    private static long startDelayMs(CommandLine line) throws ParseException {
+        String text = line.getOptionValue("start-delay-ms", "0");
+        if (!text.matches("[0-9]{1,9}")) {
+            throw new ParseException("expected: a whole number of milliseconds\n  actual: --start-delay-ms " + text);
+        }
+        return Long.parseLong(text);
+    }
+
+    /** A replay with what it cost. */
+    private record Run(ReplayResult result, ObjectNode summary) {}
+
+    private Run replay(
+            List<TraceLine> lines, Policy policy, long startDelayMs, BiConsumer<Long, Decision> decisionSink) {
+        ManagementFactory.getMemoryPoolMXBeans().forEach(MemoryPoolMXBean::resetPeakUsage);
+        long startedNs = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        ReplayResult result;
+        if (lines.size() >= LINES_FOR_PROGRESS_BAR) {
+            try (ProgressBar bar = new ProgressBarBuilder()
+                    .setTaskName(policy.name())
+                    .setInitialMax(lines.size())
+                    .build()) {
+                result = loop(lines, policy, startDelayMs, decisionSink, bar::stepTo);
+            }
+        } else {
+            result = loop(lines, policy, startDelayMs, decisionSink, _line -> {});
+        }
+        long spentNs = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - startedNs;
+        return new Run(result, result.toJson(spentNs / NANOS_PER_MS, peakHeapMb()));
+    }
+
+    private static ReplayResult loop(
+            List<TraceLine> lines,
+            Policy policy,
+            long startDelayMs,
+            BiConsumer<Long, Decision> decisionSink,
+            LongConsumer progress) {
+        return new ReplayLoop(lines, policy, startDelayMs, decisionSink, progress).run();
+    }
+
+    private static double peakHeapMb() {
+        long bytes = ManagementFactory.getMemoryPoolMXBeans().stream()
+                .filter(pool -> pool.getType() == MemoryType.HEAP)
+                .mapToLong(pool -> pool.getPeakUsage().getUsed())
+                .sum();
+        return bytes / BYTES_PER_MB;
+    }
+
+    private void print(CommandLine line, Run run) {
+        if (line.hasOption("json")) {
+            out.println(run.summary());
+        } else {
+            printTable(run.summary(), "");
+        }
+    }
+
+    private void printTable(JsonNode node, String prefix) {
+        node.fields().forEachRemaining(field -> {
+            if (field.getValue().isObject()) {
+                printTable(field.getValue(), prefix + field.getKey() + ".");
+            } else {
+                out.printf("%-40s %s%n", prefix + field.getKey(), field.getValue());
+            }
+        });
+    }
+
+    private int judge(List<TraceLine> lines, Run run) {
+        run.result().violations().forEach(err::println);
+        List<String> missed = StatedOutcomes.missed(lines, run.summary());
+        missed.forEach(err::println);
+        return missed.isEmpty() && run.result().violations().isEmpty() ? EXIT_MET : EXIT_MISSED;
+    }
+
+    private void report(Path trace, List<TraceLine> lines, long startDelayMs, Path folder) throws IOException {
+        HtmlReport report = HtmlReport.about(trace.getFileName().toString());
+        for (Policy policy : Policy.all()) {
+            Run run = replay(lines, policy, startDelayMs, (_atMs, _decision) -> {});
+            report.with(policy.name(), run.result(), run.summary());
+        }
+        err.println("report: " + report.writeTo(folder));
+    }
+}
