Scheduler: reserved room no longer idles or keeps urgent work out

A worker freed for a job was offered to the first 8 parked jobs of a size group; a holder behind them never got it, and it idled for 15 s. 2. A gang as large as the cell reserved every worker, and urgent work could not take any of them. 3. A task failing for good was stopped while it had no worker (crash), and a job that had failed on every worker of a small cell was never tried again.

Ruled out: victims running short (they were stopped at once), team limits.

Change: a freed worker goes to its holder; urgent work may use reserved workers; a reservation that lifts a team above its share waits until the waiting target is missed; released tasks are waiting at once; avoided workers are forgotten when a job backs off.

--- a/core/src/main/java/org/lovagegrade/core/internal/BestFit.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/BestFit.java
@@ -17,7 +17,17 @@
         if (own != null) {
             return own;
         }
-        return cell.index().best(job, BestFit::score, worker -> cell.mayTake(worker, job));
+        WorkerState best = cell.index().best(job, BestFit::score, worker -> cell.mayTake(worker, job));
+        return best == null && job.isUrgent() ? heldForOthers(cell, job) : best;
+    }
+
+    private static WorkerState heldForOthers(Cell cell, JobState job) {
+        for (WorkerState worker : cell.reservedWorkers()) {
+            if (worker.free.covers(job.planned) && cell.mayTake(worker, job)) {
+                return worker;
+            }
+        }
+        return null;
     }
 
     private static WorkerState reservedWorker(JobState job) {
--- a/core/src/main/java/org/lovagegrade/core/internal/Cell.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Cell.java
@@ -23,6 +23,7 @@
     private final TreeSet<WorkerState> roomier = new TreeSet<>(WorkerState.BY_ID);
     private final TreeSet<WorkerState> suspects = new TreeSet<>(WorkerState.BY_ID);
     private final TreeSet<JobState> setAside = new TreeSet<>((a, b) -> Long.compare(a.sequence, b.sequence));
+    private final TreeSet<WorkerState> reservedWorkers = new TreeSet<>(WorkerState.BY_ID);
     private final SizeCorrection sizes = new SizeCorrection();
     private final Map<Resources, Integer> capacities = new HashMap<>();
     private Resources living = Resources.NONE;
@@ -181,8 +182,10 @@
     }
 
     void reserve(WorkerState worker, JobState job) {
+        unreserve(worker);
         worker.reservedFor = job;
         job.reserved.add(worker);
+        reservedWorkers.add(worker);
         index.remove(worker);
     }
 
@@ -192,6 +195,7 @@
         }
         worker.reservedFor.reserved.remove(worker);
         worker.reservedFor = null;
+        reservedWorkers.remove(worker);
         if (worker.isUsable()) {
             index.add(worker);
             noteRoom(worker);
@@ -205,10 +209,20 @@
     }
 
     boolean mayTake(WorkerState worker, JobState job) {
-        if (!worker.isUsable() || job.failedOn.contains(worker.spec.id())) {
+        if (!worker.isUsable() || job.avoided.contains(worker.spec.id())) {
             return false;
         }
-        return worker.reservedFor == null || worker.reservedFor == job;
+        return worker.reservedFor == null || worker.reservedFor == job || goesBeforeHolder(job, worker.reservedFor);
+    }
+
+    /** Urgent work takes its place also on workers that are held free for work that can wait. */
+    private static boolean goesBeforeHolder(JobState job, JobState holder) {
+        return job.isUrgent() && !holder.isUrgent();
+    }
+
+    /** The workers that are held free for some job. */
+    Set<WorkerState> reservedWorkers() {
+        return reservedWorkers;
     }
 
     /** Gives a task's resources on a worker. */
@@ -242,6 +256,7 @@
         task.job.placedTasks--;
         change(worker, task, Resources.NONE.minus(task.held));
         task.held = Resources.NONE;
+        task.phase = TaskPhase.WAITING;
         task.worker = null;
         task.stopReason = null;
         if (task.probe) {
--- a/core/src/main/java/org/lovagegrade/core/internal/JobState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/JobState.java
@@ -22,6 +22,7 @@
     final TaskState[] tasks;
     final TreeSet<Integer> waiting = new TreeSet<>();
     final Set<String> failedOn = new LinkedHashSet<>();
+    final Set<String> avoided = new LinkedHashSet<>();
     final TreeSet<WorkerState> reserved = new TreeSet<>(WorkerState.BY_ID);
     Resources planned;
     int placedTasks;
@@ -77,6 +78,7 @@
     }
 
     void rememberFailureOn(String worker) {
+        avoided.add(worker);
         failedOn.add(worker);
         if (failedOn.size() > REMEMBERED_FAILURES) {
             failedOn.remove(new ArrayDeque<>(failedOn).peekFirst());
--- a/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
@@ -138,6 +138,8 @@
         task.failures++;
         int counted = task.failures - FAILURES_WITHOUT_PAUSE;
         if (counted > 0) {
+            // It failed on several workers; where it runs next does not matter any more.
+            task.job.avoided.clear();
             task.job.notBeforeMs = nowMs + (FIRST_PAUSE_MS << Math.min(counted - 1, LONGEST_PAUSE_SHIFT));
         }
         if (task.failures >= FAILURES_TO_GIVE_UP) {
--- a/core/src/main/java/org/lovagegrade/core/internal/Placement.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Placement.java
@@ -163,7 +163,10 @@
     }
 
     private JobState firstParkedFor(WorkerState worker) {
-        JobState best = null;
+        JobState best = worker.reservedFor == null ? null : holderIfFits(worker);
+        if (best != null) {
+            return best;
+        }
         for (TeamState team : cell.teams()) {
             if (team.waiting.isEmpty()) {
                 continue;
@@ -177,6 +180,16 @@
         return best;
     }
 
+    private JobState holderIfFits(WorkerState worker) {
+        JobState holder = worker.reservedFor;
+        boolean fits = !holder.isGang()
+                && holder.wantsPlacement()
+                && cell.mayTake(worker, holder)
+                && worker.free.covers(holder.planned)
+                && cell.hasTeamRoom(holder);
+        return fits ? holder : null;
+    }
+
     private void probeSuspects(long nowMs) {
         for (WorkerState worker : List.copyOf(cell.suspects())) {
             if (worker.silent || worker.leaving || !worker.health.isSuspect()) {
--- a/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
@@ -98,7 +98,7 @@
     private boolean makeRoom(JobState job, Reason reason, long nowMs) {
         for (VictimTest test : testsFor(job, reason)) {
             Map<WorkerState, List<TaskState>> plan = plan(job, test);
-            if (plan != null) {
+            if (plan != null && !plan.isEmpty()) {
                 carryOut(plan, job, reason, nowMs);
                 return true;
             }
--- a/core/src/main/java/org/lovagegrade/core/internal/Reservation.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Reservation.java
@@ -9,6 +9,7 @@
 /** Holds workers free for the one gang or large task that smaller work would keep out forever. */
 final class Reservation {
     private static final long RESERVE_AFTER_MS = 5_000;
+    private static final long PATIENCE_ABOVE_SHARE_MS = 600_000;
     private static final long LOOK_INTERVAL_MS = 1_000;
     private static final long GIVE_UP_MS = 600_000;
     private static final double LARGE_PART_OF_WORKER = 0.5;
@@ -63,7 +64,7 @@
             if (job == null || !cell.hasTeamRoom(job)) {
                 continue;
             }
-            long dueMs = job.waitingSinceMs + RESERVE_AFTER_MS;
+            long dueMs = job.waitingSinceMs + patienceMs(job);
             if (nowMs < dueMs) {
                 timers.wakeAt(dueMs);
                 continue;
@@ -75,6 +76,14 @@
         return best;
     }
 
+    /** Work that brings its team above its share must first have missed its waiting target. */
+    private long patienceMs(JobState job) {
+        Resources after = job.team.used.plus(job.neededAtOnce());
+        return job.team.useOfShare(after, cell.living()) <= 1
+                ? RESERVE_AFTER_MS
+                : job.workClass.waitTargetMs().orElse(PATIENCE_ABOVE_SHARE_MS);
+    }
+
     private boolean goesBefore(JobState job, JobState other) {
         return cell.rules().teamOrder().compare(job.team, job, other.team, other, cell.living()) < 0;
     }
