Scheduler: shares are restored after a twentieth of their target

Cause: in a burst most of the distance from share was the pause before the first preemption, a quarter of the target.

Ruled out: plans per decision (burst reached the share within 100 ms of the first plan).

Change: the pause is a twentieth of the target.

--- a/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
@@ -11,7 +11,8 @@
 
 /** Makes room for urgent work and for teams below their shares, by stopping the cheapest work that may give way. */
 final class Preemption {
-    private static final long TRIGGER_DIVISOR = 4;
+    private static final long URGENT_TRIGGER_DIVISOR = 4;
+    private static final long SHARE_TRIGGER_DIVISOR = 20;
     private static final long RETRY_MS = 500;
     private static final long RESERVED_MS = 15_000;
     private static final int JOBS_SEEN_PER_TEAM = 32;
@@ -62,10 +63,10 @@
         }
         if (job.isUrgent()) {
             long targetMs = job.workClass.waitTargetMs().getAsLong();
-            considerAfter(job, job.waitingSinceMs + targetMs / TRIGGER_DIVISOR, nowMs, Reason.URGENT_WORK_WAITS);
+            considerAfter(job, job.waitingSinceMs + targetMs / URGENT_TRIGGER_DIVISOR, nowMs, Reason.URGENT_WORK_WAITS);
         } else if (job.workClass.shareTargetMs().isPresent() && isBelowShare(job)) {
             long targetMs = job.workClass.shareTargetMs().getAsLong();
-            considerAfter(job, job.waitingSinceMs + targetMs / TRIGGER_DIVISOR, nowMs, Reason.RESTORES_SHARE);
+            considerAfter(job, job.waitingSinceMs + targetMs / SHARE_TRIGGER_DIVISOR, nowMs, Reason.RESTORES_SHARE);
         }
     }
 
