--- a/core/src/main/java/org/lovagegrade/core/internal/Placement.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Placement.java
@@ -195,11 +195,10 @@
             if (worker.silent || worker.leaving || !worker.health.isSuspect()) {
                 continue;
             }
-            if (!worker.health.mayProbe(nowMs)) {
-                timers.wakeAt(Math.max(nowMs + 1, worker.health.nextProbeMs()));
-                continue;
+            if (worker.health.awaitsProbe(nowMs)) {
+                timers.wakeAt(worker.health.nextProbeMs());
             }
-            JobState job = firstProbeFor(worker);
+            JobState job = worker.health.mayProbe(nowMs) ? firstProbeFor(worker) : null;
             if (job != null) {
                 worker.health.probeStarted();
                 TaskState task = job.tasks[job.waiting.first()];
--- a/core/src/main/java/org/lovagegrade/core/internal/Timers.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Timers.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
+import java.util.TreeSet;
 
 /** What is to be done at a later time; equal times keep their order. */
 final class Timers {
@@ -10,30 +11,30 @@
 
     private final PriorityQueue<Timer> queue =
             new PriorityQueue<>(Comparator.comparingLong(Timer::atMs).thenComparingLong(Timer::sequence));
+    private final TreeSet<Long> wakes = new TreeSet<>();
     private long nextSequence;
-    private long lastWakeMs = Long.MIN_VALUE;
 
     void at(long atMs, Runnable action) {
         queue.add(new Timer(atMs, nextSequence++, action));
     }
 
-    /** Asks for a decision at a time; many requests for the same time cost little. */
+    /** Asks for a decision at a time; many requests for the same time count as one. */
     void wakeAt(long atMs) {
-        if (atMs != lastWakeMs) {
-            lastWakeMs = atMs;
-            at(atMs, () -> {});
-        }
+        wakes.add(atMs);
     }
 
     void run(long nowMs) {
+        wakes.headSet(nowMs, true).clear();
         while (!queue.isEmpty() && queue.peek().atMs() <= nowMs) {
             queue.poll().action().run();
         }
     }
 
     OptionalLong nextMs() {
-        return queue.isEmpty()
-                ? OptionalLong.empty()
-                : OptionalLong.of(queue.peek().atMs());
+        long atMs = queue.isEmpty() ? Long.MAX_VALUE : queue.peek().atMs();
+        if (!wakes.isEmpty()) {
+            atMs = Math.min(atMs, wakes.first());
+        }
+        return atMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(atMs);
     }
 }
--- a/core/src/main/java/org/lovagegrade/core/internal/WorkerHealth.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WorkerHealth.java
@@ -52,6 +52,10 @@
         return suspect && !probing && nowMs >= nextProbeMs;
     }
 
+    boolean awaitsProbe(long nowMs) {
+        return suspect && !probing && nowMs < nextProbeMs;
+    }
+
     void probeStarted() {
         probing = true;
     }
--- /dev/null
+++ b/core/src/test/java/org/lovagegrade/core/WakeTest.java
@@ -0,0 +1,36 @@
+package org.lovagegrade.core;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class WakeTest {
+    @Test
+    void shouldBeRareWhileASuspectWorkerRunsItsProbe() {
+        // given: a worker that failed three tasks of two jobs and now runs a probe that goes on for long
+        CellDriver cell = new CellDriver(Policy.current())
+                .workers(1, 16, 65_536)
+                .team("norte", 1)
+                .workClass("batch", ClassKind.BATCH, 0, 20_000)
+                .submit("first", "norte", "batch", 4, 4)
+                .submit("second", "norte", "batch", 4, 4)
+                .until(0);
+        for (int i = 0; i < 3; i++) {
+            cell.apply(new Event.AttemptFailed(cell.runningAttempts("first").get(0)))
+                    .until(10 + i);
+        }
+        cell.until(30_000);
+
+        // when
+        int wakes = 0;
+        long atMs = cell.scheduler().nextWakeMs().orElse(Long.MAX_VALUE);
+        while (atMs < 60_000) {
+            wakes++;
+            cell.scheduler().decide(atMs);
+            atMs = cell.scheduler().nextWakeMs().orElse(Long.MAX_VALUE);
+        }
+
+        // then: not one a millisecond
+        assertThat(wakes).isAtMost(1_000);
+    }
+}
