--- /dev/null
+++ b/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
@@ -0,0 +1,284 @@
+package org.lovagegrade.state.machine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagegrade.wire.proto.CancelProto;
+import org.lovagegrade.wire.proto.CommandProto;
+import org.lovagegrade.wire.proto.ConfigChangeProto;
+import org.lovagegrade.wire.proto.ConfigureProto;
+import org.lovagegrade.wire.proto.DecisionActionProto;
+import org.lovagegrade.wire.proto.DecisionProto;
+import org.lovagegrade.wire.proto.DecisionsProto;
+import org.lovagegrade.wire.proto.JobSpecProto;
+import org.lovagegrade.wire.proto.JobStateProto;
+import org.lovagegrade.wire.proto.OutcomeProto;
+import org.lovagegrade.wire.proto.OutcomeStatusProto;
+import org.lovagegrade.wire.proto.ResourcesProto;
+import org.lovagegrade.wire.proto.SubmitProto;
+import org.lovagegrade.wire.proto.TeamKeyProto;
+import org.lovagegrade.wire.proto.TeamProto;
+import org.lovagegrade.wire.proto.WorkClassProto;
+
+final class StateMachineTest {
+    private StateMachine machine = StateMachine.empty();
+    private int nextRequest;
+
+    @BeforeEach
+    void createTeamClassAndKey() {
+        configure("maria", 0, setTeam(0.5));
+        configure(
+                "maria",
+                0,
+                ConfigChangeProto.newBuilder()
+                        .setSetClass(WorkClassProto.newBuilder().setId("batch").build()));
+        configure(
+                "maria",
+                0,
+                ConfigChangeProto.newBuilder()
+                        .setGiveKey(TeamKeyProto.newBuilder()
+                                .setId("key-1")
+                                .setTeam("norte")
+                                .setSecretSha256("digest-1")));
+    }
+
+    private static ConfigChangeProto.Builder setTeam(double share) {
+        return ConfigChangeProto.newBuilder()
+                .setSetTeam(TeamProto.newBuilder().setId("norte").setShare(share));
+    }
+
+    private OutcomeProto configure(String operator, long base, ConfigChangeProto.Builder change) {
+        return apply("r" + nextRequest++, configureCommand(operator, base, change));
+    }
+
+    private static CommandProto.Builder configureCommand(String operator, long base, ConfigChangeProto.Builder change) {
+        return CommandProto.newBuilder()
+                .setConfigure(ConfigureProto.newBuilder()
+                        .setOperator(operator)
+                        .setBaseRevision(base)
+                        .setChange(change));
+    }
+
+    private OutcomeProto apply(String requestId, CommandProto.Builder command) {
+        return machine.apply(command.setRequestId(requestId).setAtMs(1_000).build())
+                .outcome();
+    }
+
+    private static CommandProto.Builder submit(String job, String digest) {
+        JobSpecProto spec = JobSpecProto.newBuilder()
+                .setId(job)
+                .setTeam("norte")
+                .setWorkClass("batch")
+                .setTasks(2)
+                .setPerTask(ResourcesProto.newBuilder().setMilliCores(1_000))
+                .build();
+        return CommandProto.newBuilder()
+                .setSubmit(SubmitProto.newBuilder().setSpec(spec).setKeySha256(digest));
+    }
+
+    private Applied decide(DecisionActionProto action, int task, int attempt, String worker, String reason) {
+        DecisionProto decision = DecisionProto.newBuilder()
+                .setAction(action)
+                .setJob("job")
+                .setTask(task)
+                .setAttempt(attempt)
+                .setWorker(worker)
+                .setReason(reason)
+                .build();
+        return machine.apply(CommandProto.newBuilder()
+                .setDecisions(DecisionsProto.newBuilder().addDecisions(decision))
+                .build());
+    }
+
+    @Nested
+    final class OperatorsRacing {
+        @Test
+        void shouldLetOneWinAndTellTheOtherByWhomAndWithWhat() {
+            // given
+            OutcomeProto first = configure("maria", 1, setTeam(0.7));
+
+            // when
+            OutcomeProto second = configure("jose", 1, setTeam(0.2));
+
+            // then
+            assertThat(first.getStatus()).isEqualTo(OutcomeStatusProto.OK);
+            assertThat(second.getStatus()).isEqualTo(OutcomeStatusProto.CONFLICT);
+            assertThat(second.getDetail()).contains("maria");
+            assertThat(second.getDetail()).contains("0.7");
+            assertThat(machine.configView().getTeams(0).getShare()).isEqualTo(0.7);
+        }
+
+        @Test
+        void shouldNotDisturbChangesOfOtherObjects() {
+            // given
+            configure("maria", 1, setTeam(0.7));
+
+            // when
+            OutcomeProto other = configure(
+                    "jose",
+                    0,
+                    ConfigChangeProto.newBuilder()
+                            .setSetTeam(TeamProto.newBuilder().setId("sur").setShare(0.1)));
+
+            // then
+            assertThat(other.getStatus()).isEqualTo(OutcomeStatusProto.OK);
+        }
+    }
+
+    @Nested
+    final class Resends {
+        @Test
+        void shouldGetTheFirstAnswerAlsoAfterASnapshot() {
+            // given
+            OutcomeProto first = apply("same", configureCommand("maria", 1, setTeam(0.7)));
+            configure("jose", first.getRevision(), setTeam(0.2));
+
+            // when
+            machine = StateMachine.fromSnapshot(machine.snapshot());
+            OutcomeProto again = apply("same", configureCommand("maria", 1, setTeam(0.7)));
+
+            // then
+            assertThat(again).isEqualTo(first);
+            assertThat(machine.configView().getTeams(0).getShare()).isEqualTo(0.2);
+        }
+
+        @Test
+        void shouldAcceptAJobOnce() {
+            // given
+            OutcomeProto first = apply("submit", submit("job", "digest-1"));
+
+            // when
+            OutcomeProto again = apply("submit", submit("job", "digest-1"));
+
+            // then
+            assertThat(again).isEqualTo(first);
+            assertThat(machine.jobs()).hasSize(1);
+        }
+    }
+
+    @Nested
+    final class Keys {
+        @Test
+        void shouldBeNeededAndOfTheRightTeam() {
+            assertThat(apply("a", submit("a", "unknown")).getReason()).isEqualTo("wrongKey");
+            assertThat(apply("b", submit("b", "")).getReason()).isEqualTo("wrongKey");
+            assertThat(machine.jobs()).isEmpty();
+        }
+
+        @Test
+        void shouldStopWorkingOnceWithdrawn() {
+            // given
+            long revision = machine.configView().getKeys(0).getRevision();
+
+            // when
+            configure("maria", revision, ConfigChangeProto.newBuilder().setWithdrawKey("key-1"));
+
+            // then
+            assertThat(apply("late", submit("late", "digest-1")).getReason()).isEqualTo("wrongKey");
+        }
+    }
+
+    @Nested
+    final class Attempts {
+        @BeforeEach
+        void submitAndPlace() {
+            apply("submit", submit("job", "digest-1"));
+            decide(DecisionActionProto.PLACE, 0, 1, "w1", "fits");
+        }
+
+        @Test
+        void shouldNotBePlacedInTwoPlaces() {
+            // when
+            Applied second = decide(DecisionActionProto.PLACE, 0, 2, "w2", "fits");
+
+            // then
+            assertThat(second.late()).hasSize(1);
+            assertThat(machine.heldBy("w2")).isEmpty();
+        }
+
+        @Test
+        void shouldBeEndedOnlyByTheirHolder() {
+            // given
+            decide(DecisionActionProto.LEASE_EXPIRED, 0, 1, "w1", "workerSilent");
+            decide(DecisionActionProto.PLACE, 0, 2, "w2", "fits");
+
+            // when
+            Applied stale = decide(DecisionActionProto.END, 0, 1, "w1", "completed");
+
+            // then
+            assertThat(stale.late()).hasSize(1);
+            assertThat(machine.heldBy("w2")).hasSize(1);
+        }
+
+        @Test
+        void shouldNotBePlacedOnceTheJobIsCancelled() {
+            // given
+            CancelProto cancel = CancelProto.newBuilder()
+                    .setJob("job")
+                    .setKeySha256("digest-1")
+                    .build();
+            apply("cancel", CommandProto.newBuilder().setCancel(cancel));
+
+            // when
+            Applied placed = decide(DecisionActionProto.PLACE, 1, 1, "w1", "fits");
+
+            // then
+            assertThat(placed.late()).hasSize(1);
+        }
+
+        @Test
+        void shouldEndTheJobWhenAllHaveEnded() {
+            // given
+            decide(DecisionActionProto.PLACE, 1, 1, "w2", "fits");
+            decide(DecisionActionProto.END, 0, 1, "w1", "completed");
+
+            // when
+            decide(DecisionActionProto.END, 1, 1, "w2", "completed");
+
+            // then
+            assertThat(machine.job("job").orElseThrow().getState()).isEqualTo(JobStateProto.ENDED);
+        }
+
+        @Test
+        void shouldSurviveASnapshot() {
+            // when
+            machine = StateMachine.fromSnapshot(machine.snapshot());
+
+            // then
+            assertThat(machine.heldBy("w1")).hasSize(1);
+            assertThat(decide(DecisionActionProto.PLACE, 0, 2, "w2", "fits").late())
+                    .hasSize(1);
+        }
+    }
+
+    @Nested
+    final class BadValues {
+        @Test
+        void shouldBeRefusedAndChangeNothing() {
+            // given
+            long revision = machine.revision();
+
+            // when, then
+            assertThat(configure("maria", 1, setTeam(1.5)).getReason()).isEqualTo("badValue");
+            assertThat(configure("maria", 1, setTeam(Double.NaN)).getReason()).isEqualTo("badValue");
+            assertThat(configure("maria", 1, ConfigChangeProto.newBuilder()).getReason())
+                    .isEqualTo("revisionConflict");
+            assertThat(machine.revision()).isEqualTo(revision);
+        }
+
+        @Test
+        void shouldNotRemoveATeamThatIsStillInUse() {
+            // given
+            apply("submit", submit("job", "digest-1"));
+
+            // when
+            OutcomeProto removed =
+                    configure("maria", 1, ConfigChangeProto.newBuilder().setRemoveTeam("norte"));
+
+            // then
+            assertThat(removed.getReason()).isEqualTo("stillInUse");
+        }
+    }
+}
