--- a/testing/src/main/java/org/lovagegrade/testing/endpoint/FakeEndpoint.java
+++ b/testing/src/main/java/org/lovagegrade/testing/endpoint/FakeEndpoint.java
@@ -62,6 +62,7 @@
     private int refused;
     private int servedWhileLeaving;
     private boolean leaving;
+    private boolean failing;
 
     /**
      * What an endpoint is.
@@ -96,6 +97,18 @@
      * @return the port taken
      */
     public int start(int listenPort) {
+        listen(listenPort);
+        announceItself();
+        return port;
+    }
+
+    /**
+     * Starts to listen only.
+     *
+     * @param listenPort the port, 0 for a free one
+     * @return the port taken
+     */
+    public int listen(int listenPort) {
         server = Undertow.builder()
                 .addHttpListener(listenPort, "127.0.0.1")
                 .setIoThreads(1)
@@ -108,10 +121,14 @@
         if (advertisedPort == 0) {
             advertisedPort = port;
         }
-        loop.execute(this::announce);
         return port;
     }
 
+    /** Starts to announce itself. */
+    public void announceItself() {
+        loop.execute(this::announce);
+    }
+
     /**
      * Announces another address than its own, that of a proxy.
      *
@@ -134,6 +151,15 @@
         });
     }
 
+    /**
+     * Fails every call from now on, or ceases to.
+     *
+     * @param fails whether calls fail
+     */
+    public void failAll(boolean fails) {
+        loop.execute(() -> failing = fails);
+    }
+
     /** Stops listening. */
     public void stop() {
         server.stop();
@@ -278,7 +304,9 @@
         String team = header(exchange, new HttpString("Test-Team"));
         long startedEpoch = epoch;
         begin(exchange, team);
-        if (path.startsWith("/sleep/")) {
+        if (failing) {
+            end(exchange, id, team, startedEpoch, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
+        } else if (path.startsWith("/sleep/")) {
             loop.schedule(
                     Long.parseLong(path.substring("/sleep/".length())),
                     () -> end(exchange, id, team, startedEpoch, StatusCodes.OK, "slept " + body));
