--- a/core/src/main/java/org/lovagegrade/core/Resources.java
+++ b/core/src/main/java/org/lovagegrade/core/Resources.java
@@ -73,6 +73,19 @@
                 Math.max(accelerators, other.accelerators));
     }
 
+    /**
+     * Takes the lesser amount of each kind.
+     *
+     * @param other what to compare with
+     * @return the greatest amounts that both cover
+     */
+    public Resources min(Resources other) {
+        return new Resources(
+                Math.min(milliCores, other.milliCores),
+                Math.min(memoryMb, other.memoryMb),
+                Math.min(accelerators, other.accelerators));
+    }
+
     /**
      * Whether there is at least as much of each kind as needed.
      *
--- a/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.core.internal;
 
 import java.util.function.Consumer;
+import org.lovagegrade.core.Limits;
 import org.lovagegrade.core.Resources;
 
 /** Read access to an engine's state, for measures and status pages; valid until the engine's next event. */
@@ -19,8 +20,10 @@
      * @param used what it holds
      * @param waiting whether it has work waiting
      * @param waitsForRoom whether any of that work was tried and found no room
+     * @param limits its upper limits
      */
-    public record TeamView(String id, double share, Resources used, boolean waiting, boolean waitsForRoom) {}
+    public record TeamView(
+            String id, double share, Resources used, boolean waiting, boolean waitsForRoom, Limits limits) {}
 
     /**
      * One worker's state.
@@ -56,7 +59,8 @@
                     team.spec.share(),
                     team.used,
                     !team.waiting.isEmpty(),
-                    team.waiting.hasParkedForRoom()));
+                    team.waiting.hasParkedForRoom(),
+                    team.spec.limits()));
         }
     }
 
--- a/replay/src/main/java/org/lovagegrade/replay/internal/Measures.java
+++ b/replay/src/main/java/org/lovagegrade/replay/internal/Measures.java
@@ -68,7 +68,8 @@
             sum.share = team.share();
             sum.countedNow = full[0] && team.waiting();
             Resources wanted = wantedByTeam.getOrDefault(team.id(), Resources.NONE);
-            double reachable = Math.min(team.share(), team.used().plus(wanted).dominantShareOf(living));
+            Resources reachableUse = team.limits().most().min(team.used().plus(wanted));
+            double reachable = Math.min(team.share(), reachableUse.dominantShareOf(living));
             sum.missingNow = Math.max(0, reachable - use);
         });
         sample(atMs, uses);
