Status tells the membership that a quorum has

Cause: a repair was told as done when the leader had appended the new membership, before a quorum had it; the loss of the leader's disk right then left two replicas of which neither could lead. Found by reading the status of a fleet in the midst of DisksTest.

Change: status gives the committed membership. The fuzz loses the next disk, the leader's too, as soon as the repair is told, and requires that the group commits again afterwards.

Decisions are logged when they are committed, once on each replica, and no longer when they are only planned.

--- a/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
@@ -401,6 +401,15 @@
         return memberships.latest();
     }
 
+    /**
+     * The membership that a quorum has; what people may count on.
+     *
+     * @return the latest that is committed
+     */
+    public MembershipProto committedMembership() {
+        return memberships.at(commitIndex);
+    }
+
     /**
      * The membership at an index, for a snapshot.
      *
--- a/state/src/main/java/org/lovagegrade/state/replica/Replica.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Replica.java
@@ -26,6 +26,7 @@
 import org.lovagegrade.wire.proto.CommandProto;
 import org.lovagegrade.wire.proto.CommandReplyProto;
 import org.lovagegrade.wire.proto.CommandRequestProto;
+import org.lovagegrade.wire.proto.DecisionProto;
 import org.lovagegrade.wire.proto.EnvelopeProto;
 import org.lovagegrade.wire.proto.HeartbeatBatchAnswerProto;
 import org.lovagegrade.wire.proto.LogEntryProto;
@@ -256,6 +257,7 @@
     private void note(Applied applied, long index) {
         CommandProto command = applied.command();
         if (command.hasDecisions()) {
+            noteDecisions(applied, index);
             return;
         }
         Log.event("applied")
@@ -270,6 +272,25 @@
                 .info();
     }
 
+    /** One line for each decision that took effect, the same on every replica. */
+    private static void noteDecisions(Applied applied, long index) {
+        for (DecisionProto decision : applied.command().getDecisions().getDecisionsList()) {
+            if (applied.late().contains(decision)) {
+                continue;
+            }
+            Log.event("decision")
+                    .with("index", index)
+                    .with("action", decision.getAction().name())
+                    .with("job", decision.getJob())
+                    .with("task", decision.getTask())
+                    .with("attempt", decision.getAttempt())
+                    .with("worker", decision.getWorker())
+                    .with("reason", decision.getReason())
+                    .with("leaseMs", decision.getLeaseMs())
+                    .info();
+        }
+    }
+
     private static String describe(CommandProto command) {
         return switch (command.getBodyCase()) {
             case SUBMIT -> command.getSubmit().getSpec().getId();
@@ -353,7 +374,7 @@
                 reply.accept(EnvelopeProto.newBuilder()
                         .setQueryReply(queries.answer(request.getQueryRequest(), nowMs).toBuilder()
                                 .setLeader(raft.leader())
-                                .setMembership(raft.membership())
+                                .setMembership(raft.committedMembership())
                                 .setCommitIndex(raft.commitIndex()))
                         .build());
             default -> metrics.count("lovagegrade_state_refusals", StateRefusal.UNKNOWN_REQUEST);
--- a/state/src/main/java/org/lovagegrade/state/scheduling/LeaderDuties.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/LeaderDuties.java
@@ -233,15 +233,6 @@
     }
 
     private void note(Decision decision, long nowMs) {
-        Log.event("decision")
-                .with("action", decision.action().text())
-                .with("job", decision.job())
-                .with("task", decision.task())
-                .with("attempt", decision.attempt())
-                .with("worker", decision.worker())
-                .with("reason", decision.reason().text())
-                .with("leaseMs", decision.leaseMs())
-                .info();
         metrics.count("lovagegrade_decisions_" + decision.action().text(), decision.reason());
         switch (decision.action()) {
             case PLACE -> leases.granted(decision.toAttempt(), nowMs, decision.leaseMs());
--- a/state/src/test/java/org/lovagegrade/state/consensus/FuzzedGroup.java
+++ b/state/src/test/java/org/lovagegrade/state/consensus/FuzzedGroup.java
@@ -26,6 +26,7 @@
     private static final int STEP_MS = 5;
     private static final int LONGEST_DELAY_MS = 25;
     private static final int LONGEST_PAUSE_MS = 600;
+    private static final int MOST_LOST_DISKS = 3;
 
     /**
      * Which protections are taken out.
@@ -33,10 +34,15 @@
      * @param rules the rules of the replicas
      * @param syncsBeforeSending whether what is written is synced before messages leave
      * @param newIdentityAfterLostDisk whether a replica without its disk comes back as another
+     * @param tellsCommittedMembership whether a repair is told only once a quorum has it
      */
-    record Protections(RaftRules rules, boolean syncsBeforeSending, boolean newIdentityAfterLostDisk) {
+    record Protections(
+            RaftRules rules,
+            boolean syncsBeforeSending,
+            boolean newIdentityAfterLostDisk,
+            boolean tellsCommittedMembership) {
         static Protections all() {
-            return new Protections(RaftRules.safe(), true, true);
+            return new Protections(RaftRules.safe(), true, true, true);
         }
     }
 
@@ -113,6 +119,9 @@
         for (int i = 0; i < steps && violations.isEmpty(); i++) {
             step();
         }
+        if (violations.isEmpty() && committed.size() == target) {
+            violations.add("nothing was committed any more after " + target + " entries");
+        }
         for (Node node : nodes) {
             if (violations.isEmpty() && node.applied < target) {
                 violations.add(node.id + " has applied " + node.applied + " of " + target + " committed entries");
@@ -138,9 +147,9 @@
             goDown(node, false);
         } else if (dice < 22) {
             goDown(node, true);
-        } else if (dice < 25 && mayLoseDisk(node)) {
+        } else if (dice < 40 && mayLoseDisk()) {
             loseDisk(node);
-        } else if (dice < 40) {
+        } else if (dice < 55) {
             snapshot(node);
         }
     }
@@ -150,10 +159,20 @@
         node.downUntilMs = nowMs + random.nextInt(LONGEST_PAUSE_MS);
     }
 
-    /** One disk at a time is lost: the next only once the former loss is repaired and all are up. */
-    private boolean mayLoseDisk(Node node) {
-        boolean allVote = nodes.stream().allMatch(other -> other.raft.isMember() && other.downUntilMs <= nowMs);
-        return lostDisks < 3 && allVote && !node.raft.isLeader();
+    /** The next disk is lost as soon as the leader tells that the former loss is repaired, the leader's too. */
+    private boolean mayLoseDisk() {
+        boolean allUp = nodes.stream().allMatch(other -> other.downUntilMs <= nowMs);
+        boolean isRepaired = nodes.stream()
+                .filter(other -> other.raft.holdsLease(nowMs))
+                .anyMatch(leader ->
+                        nodes.stream().allMatch(other -> toldVoters(leader).contains(other.id.toString())));
+        return lostDisks < MOST_LOST_DISKS && allUp && isRepaired;
+    }
+
+    private List<String> toldVoters(Node leader) {
+        return protections.tellsCommittedMembership()
+                ? leader.raft.committedMembership().getVotersList()
+                : leader.raft.membership().getVotersList();
     }
 
     private void loseDisk(Node node) {
--- a/state/src/test/java/org/lovagegrade/state/consensus/RaftFuzzTest.java
+++ b/state/src/test/java/org/lovagegrade/state/consensus/RaftFuzzTest.java
@@ -35,7 +35,7 @@
     final class Checks {
         @Test
         void shouldCatchVotesThatAreNotSynced() {
-            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), false, true));
+            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), false, true, true));
         }
 
         @Test
@@ -51,19 +51,25 @@
 
         @Test
         void shouldCatchADiskLoserThatVotes() {
-            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, false));
+            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, false, true));
         }
 
         @Test
         void shouldCatchTheLeaseOfAPausedLeader() {
             RaftRules rules = RaftRules.safe().withLease((_nowMs, _untilMs) -> true);
-            assertIsCaught(new FuzzedGroup.Protections(rules, true, true));
+            assertIsCaught(new FuzzedGroup.Protections(rules, true, true, true));
+        }
+
+        @Test
+        void shouldCatchARepairThatIsToldBeforeAQuorumHasIt() {
+            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, true, false));
         }
 
         private void assertIsCaught(FuzzedGroup.Protections protections) {
             for (long seed = 0; seed < SEEDS_TO_CATCH; seed++) {
                 FuzzedGroup group = new FuzzedGroup(seed, seed % 3 == 0 ? 5 : 3, protections);
-                if (!group.run(STEPS).isEmpty()) {
+                if (!group.run(STEPS).isEmpty()
+                        || !group.settle(STEPS_TO_SETTLE).isEmpty()) {
                     return;
                 }
             }
