Scheduler: looks no further than the first team with a job for freed room

Change: teams stand in the order of their use, and the search ends at the first that has a job; preemption passes over teams at their share without urgent work.

--- a/core/src/main/java/org/lovagegrade/core/internal/Cell.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Cell.java
@@ -1,7 +1,10 @@
 package org.lovagegrade.core.internal;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.Set;
@@ -14,6 +17,9 @@
 
 /** All that the scheduler knows, with the sums kept in step with each change. */
 final class Cell {
+    private static final Comparator<TeamState> LEAST_USE_FIRST =
+            Comparator.<TeamState>comparingDouble(team -> team.sortKey).thenComparing(team -> team.spec.id());
+
     private final Rules rules;
     private final TreeMap<String, TeamState> teams = new TreeMap<>();
     private final Map<String, WorkClass> classes = new HashMap<>();
@@ -26,6 +32,7 @@
     private final TreeSet<WorkerState> reservedWorkers = new TreeSet<>(WorkerState.BY_ID);
     private final SizeCorrection sizes = new SizeCorrection();
     private final Map<Resources, Integer> capacities = new HashMap<>();
+    private final List<TeamState> byUse = new ArrayList<>();
     private Resources living = Resources.NONE;
     private Resources free = Resources.NONE;
     private boolean freeRose;
@@ -51,6 +58,14 @@
         return teams.values();
     }
 
+    /** All teams, the one that uses the least of its share first. */
+    List<TeamState> teamsByUse() {
+        byUse.forEach(team -> team.sortKey = team.useOfShare(living));
+        // Nearly sorted from the last time, which the sort of lists makes use of.
+        byUse.sort(LEAST_USE_FIRST);
+        return byUse;
+    }
+
     TeamState team(String id) {
         return teams.get(id);
     }
@@ -110,7 +125,12 @@
     }
 
     void setTeam(Team spec) {
-        TeamState team = teams.computeIfAbsent(spec.id(), _unused -> new TeamState(spec, rules.jobOrder()));
+        TeamState team = teams.get(spec.id());
+        if (team == null) {
+            team = new TeamState(spec, rules.jobOrder());
+            teams.put(spec.id(), team);
+            byUse.add(team);
+        }
         team.spec = spec;
         team.headroomRose = true;
         freeRose = true;
--- a/core/src/main/java/org/lovagegrade/core/internal/Placement.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Placement.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.lovagegrade.core.Reason;
 import org.lovagegrade.core.lease.LeaseLength;
 
@@ -163,16 +164,35 @@
     }
 
     private JobState firstParkedFor(WorkerState worker) {
-        JobState best = worker.reservedFor == null ? null : holderIfFits(worker);
-        if (best != null) {
-            return best;
+        JobState holder = worker.reservedFor == null ? null : holderIfFits(worker);
+        if (holder != null) {
+            return holder;
         }
-        for (TeamState team : cell.teams()) {
-            if (team.waiting.isEmpty()) {
-                continue;
+        return cell.rules().sharesFirst() ? firstByShare(worker) : firstOfAll(worker);
+    }
+
+    /** Looks no further than the first team that has a job for the worker. */
+    private JobState firstByShare(WorkerState worker) {
+        List<TeamState> teams = cell.teamsByUse();
+        for (TeamState team : teams) {
+            JobState urgent = team.waiting.hasParkedUrgent() ? firstOfTeam(team, worker, JobState::isUrgent) : null;
+            if (urgent != null) {
+                return urgent;
             }
-            JobState job = team.waiting.firstParkedWithin(
-                    worker.free, parked -> cell.mayTake(worker, parked) && cell.hasTeamRoom(parked));
+        }
+        for (TeamState team : teams) {
+            JobState job = team.waiting.isEmpty() ? null : firstOfTeam(team, worker, _job -> true);
+            if (job != null) {
+                return job;
+            }
+        }
+        return null;
+    }
+
+    private JobState firstOfAll(WorkerState worker) {
+        JobState best = null;
+        for (TeamState team : cell.teams()) {
+            JobState job = team.waiting.isEmpty() ? null : firstOfTeam(team, worker, _job -> true);
             if (job != null && (best == null || goesBefore(job, best))) {
                 best = job;
             }
@@ -180,6 +200,11 @@
         return best;
     }
 
+    private JobState firstOfTeam(TeamState team, WorkerState worker, Predicate<JobState> wanted) {
+        return team.waiting.firstParkedWithin(
+                worker.free, job -> wanted.test(job) && cell.mayTake(worker, job) && cell.hasTeamRoom(job));
+    }
+
     private JobState holderIfFits(WorkerState worker) {
         JobState holder = worker.reservedFor;
         boolean fits = !holder.isGang()
--- a/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
@@ -1,7 +1,7 @@
 package org.lovagegrade.core.internal;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,22 +39,22 @@
 
     void run(long nowMs) {
         plansLeft = PLANS_PER_DECISION;
-        for (TeamState team : teamsByUse(false)) {
-            for (JobState job : firstParked(team)) {
-                consider(job, nowMs);
+        for (TeamState team : List.copyOf(cell.teamsByUse())) {
+            boolean isBelowShare = team.sortKey < 1;
+            if (team.waiting.hasParkedForRoom() && (isBelowShare || team.waiting.hasParkedUrgent())) {
+                considerFirstJobs(team, nowMs);
             }
         }
     }
 
-    private static List<JobState> firstParked(TeamState team) {
-        List<JobState> first = new ArrayList<>();
+    private void considerFirstJobs(TeamState team, long nowMs) {
+        int seen = 0;
         for (JobState job : team.waiting.parked()) {
-            if (first.size() >= JOBS_SEEN_PER_TEAM) {
-                break;
+            consider(job, nowMs);
+            if (++seen >= JOBS_SEEN_PER_TEAM) {
+                return;
             }
-            first.add(job);
         }
-        return first;
     }
 
     private void consider(JobState job, long nowMs) {
@@ -132,7 +132,7 @@
         IdentityHashMap<TeamState, Resources> givenUp = new IdentityHashMap<>();
         Map<WorkerState, List<TaskState>> victims = new TreeMap<>(WorkerState.BY_ID);
         IdentityHashMap<WorkerState, Resources> room = new IdentityHashMap<>();
-        for (TeamState team : teamsByUse(true)) {
+        for (TeamState team : mostUseFirst()) {
             for (TaskState victim : team.running) {
                 if (victimsLeft-- <= 0) {
                     return null;
@@ -220,10 +220,9 @@
         fitting.forEach(worker -> cell.reserve(worker, job));
     }
 
-    private List<TeamState> teamsByUse(boolean mostFirst) {
-        Comparator<TeamState> byUse = Comparator.comparingDouble(team -> team.useOfShare(cell.living()));
-        List<TeamState> teams = new ArrayList<>(cell.teams());
-        teams.sort((mostFirst ? byUse.reversed() : byUse).thenComparing(team -> team.spec.id()));
+    private List<TeamState> mostUseFirst() {
+        List<TeamState> teams = new ArrayList<>(cell.teamsByUse());
+        Collections.reverse(teams);
         return teams;
     }
 }
--- a/core/src/main/java/org/lovagegrade/core/internal/Rules.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Rules.java
@@ -9,11 +9,17 @@
  * @param jobOrder which job of a team goes first
  * @param teamOrder which team goes first
  * @param search how a worker is found
+ * @param sharesFirst whether, urgent work aside, teams go strictly in the order of their use of share
  * @param preempts whether running work gives way to other work
  * @param reserves whether room is held free for work that would wait forever
  */
 public record Rules(
-        Comparator<JobState> jobOrder, TeamOrder teamOrder, WorkerSearch search, boolean preempts, boolean reserves) {
+        Comparator<JobState> jobOrder,
+        TeamOrder teamOrder,
+        WorkerSearch search,
+        boolean sharesFirst,
+        boolean preempts,
+        boolean reserves) {
     private static final Comparator<JobState> BY_SUBMISSION = Comparator.comparingLong(job -> job.sequence);
     private static final Comparator<JobState> BY_SLACK =
             Comparator.<JobState>comparingLong(job -> job.deadlineMs).thenComparingLong(job -> job.sequence);
@@ -36,7 +42,7 @@
      * @return the rules
      */
     public static Rules current() {
-        return new Rules(BY_SLACK, Rules::urgentThenByShare, BestFit::find, true, true);
+        return new Rules(BY_SLACK, Rules::urgentThenByShare, BestFit::find, true, true, true);
     }
 
     /**
@@ -45,7 +51,7 @@
      * @return the rules
      */
     public static Rules fifoFirstFit() {
-        return new Rules(BY_SUBMISSION, Rules::bySubmission, FirstFit::find, false, false);
+        return new Rules(BY_SUBMISSION, Rules::bySubmission, FirstFit::find, false, false, false);
     }
 
     /**
@@ -54,7 +60,7 @@
      * @return the rules
      */
     public static Rules fairFirstFit() {
-        return new Rules(BY_SUBMISSION, Rules::byShare, FirstFit::find, false, false);
+        return new Rules(BY_SUBMISSION, Rules::byShare, FirstFit::find, true, false, false);
     }
 
     private static int bySubmission(
--- a/core/src/main/java/org/lovagegrade/core/internal/TeamState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/TeamState.java
@@ -23,6 +23,7 @@
     Resources used = Resources.NONE;
     Resources stopping = Resources.NONE;
     boolean headroomRose;
+    double sortKey;
 
     TeamState(Team spec, Comparator<JobState> jobOrder) {
         this.spec = spec;
--- a/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
@@ -23,6 +23,7 @@
     private final TreeMap<Integer, TreeSet<JobState>> groups = new TreeMap<>();
     private final TreeSet<JobState> parkedGangs;
     private int parkedForRoom;
+    private int parkedUrgent;
 
     WaitingJobs(Comparator<JobState> order) {
         this.order = order;
@@ -41,6 +42,7 @@
         parked.add(job);
         job.parkedForRoom = job.waitReason == Reason.NO_ROOM;
         parkedForRoom += job.parkedForRoom ? 1 : 0;
+        parkedUrgent += job.isUrgent() ? 1 : 0;
         if (job.isGang()) {
             parkedGangs.add(job);
             return;
@@ -55,6 +57,7 @@
             return;
         }
         parkedForRoom -= job.parkedForRoom ? 1 : 0;
+        parkedUrgent -= job.isUrgent() ? 1 : 0;
         if (job.isGang()) {
             parkedGangs.remove(job);
             return;
@@ -92,6 +95,10 @@
         return parkedForRoom > 0;
     }
 
+    boolean hasParkedUrgent() {
+        return parkedUrgent > 0;
+    }
+
     boolean isEmpty() {
         return open.isEmpty() && parked.isEmpty();
     }
