Try: searches skip size groups with too few cores

Cause looked for: a step with 7,200 workers costs 4.8 times one with 30. Change: groups are cut to those whose cores level can fit. Ruled out: the number of groups looked at.

--- a/core/src/main/java/org/lovagegrade/core/internal/FreeIndex.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/FreeIndex.java
@@ -59,7 +59,8 @@
         WorkerState best = null;
         double bestScore = Double.POSITIVE_INFINITY;
         int seen = 0;
-        for (Map.Entry<Integer, TreeSet<WorkerState>> group : groups.entrySet()) {
+        for (Map.Entry<Integer, TreeSet<WorkerState>> group :
+                groups.tailMap(Levels.leastKeyWithCoresOf(needKey), true).entrySet()) {
             if (!Levels.mayCover(group.getKey(), needKey)) {
                 continue;
             }
