--- a/core/src/main/java/org/lovagegrade/core/internal/FreeIndex.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/FreeIndex.java
@@ -59,8 +59,7 @@
         WorkerState best = null;
         double bestScore = Double.POSITIVE_INFINITY;
         int seen = 0;
-        for (Map.Entry<Integer, TreeSet<WorkerState>> group :
-                groups.tailMap(Levels.leastKeyWithCoresOf(needKey), true).entrySet()) {
+        for (Map.Entry<Integer, TreeSet<WorkerState>> group : groups.entrySet()) {
             if (!Levels.mayCover(group.getKey(), needKey)) {
                 continue;
             }
--- a/core/src/main/java/org/lovagegrade/core/internal/Levels.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Levels.java
@@ -26,16 +26,6 @@
                 && freeKey >> CORES_SHIFT >= needKey >> CORES_SHIFT;
     }
 
-    /** The least key that has the cores level of a key; keys below it can't cover the same cores. */
-    static int leastKeyWithCoresOf(int key) {
-        return key >> CORES_SHIFT << CORES_SHIFT;
-    }
-
-    /** The greatest key that has the cores level of a key. */
-    static int greatestKeyWithCoresOf(int key) {
-        return leastKeyWithCoresOf(key) | ((1 << CORES_SHIFT) - 1);
-    }
-
     private static int level(long amount) {
         if (amount <= 0) {
             return 0;
--- a/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
@@ -107,8 +107,7 @@
     JobState firstParkedWithin(Resources room, Predicate<JobState> allowed) {
         int roomKey = Levels.keyOf(room);
         JobState best = null;
-        for (Map.Entry<Integer, TreeSet<JobState>> group :
-                groups.headMap(Levels.greatestKeyWithCoresOf(roomKey), true).entrySet()) {
+        for (Map.Entry<Integer, TreeSet<JobState>> group : groups.entrySet()) {
             if (!Levels.mayCover(roomKey, group.getKey())) {
                 continue;
             }
