--- a/testing/src/main/java/org/lovagegrade/testing/load/LoadMain.java
+++ b/testing/src/main/java/org/lovagegrade/testing/load/LoadMain.java
@@ -110,7 +110,7 @@
         send(team, dueNs, options);
         long gapNs = (long) (-Math.log(1 - random.nextDouble()) / team.perSecond() * NANOS_PER_SECOND);
         long nextNs = dueNs + gapNs;
-        long waitMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nextNs - System.nanoTime()));
+        long waitMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nextNs - System.nanoTime()) + 1);
         loop.schedule(waitMs, () -> sendNext(team, nextNs, endNs, options));
     }
 
