--- a/entry/src/main/java/org/lovagegrade/entry/http/CallHandler.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/CallHandler.java
@@ -19,7 +19,9 @@
 import org.lovagegrade.entry.view.View;
 import org.lovagegrade.entry.view.ViewKeeper;
 import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.wire.proto.HeaderProto;
+import org.lovagegrade.wire.proto.TeamKeyProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
 
 /** Takes calls in: checks the key before a byte is passed on, and answers with what is true. */
@@ -63,24 +65,29 @@
             refuse(CallRefusal.VIEW_LEASE_EXPIRED, reply);
             return;
         }
-        Optional<String> team = isOpen
-                ? Optional.of(workClass.get().getOpenTeam())
-                : view.key(digest).map(key -> key.getTeam());
-        if (team.isEmpty()) {
+        Optional<TeamKeyProto> key = view.key(digest);
+        if (!isOpen && key.isEmpty()) {
             refuse(CallRefusal.WRONG_KEY, reply);
             return;
         }
+        String team = isOpen ? workClass.get().getOpenTeam() : key.get().getTeam();
         String deadline = request.header(ApiHeaders.DEADLINE_MS);
         if (!deadline.isEmpty() && !deadline.matches("[1-9][0-9]{0,8}")) {
             refuse(CallRefusal.BAD_REQUEST, reply);
             return;
         }
-        calls.submit(
-                toCall(request, team.get(), workClass.get(), deadline), outcome -> reply.accept(toAnswer(outcome)));
+        CallRequest call = toCall(request, team, workClass.get(), deadline);
+        Log.event("keyUse")
+                .with("key", key.map(TeamKeyProto::getId).orElse(""))
+                .with("team", team)
+                .with("call", call.id())
+                .info();
+        calls.submit(call, outcome -> reply.accept(toAnswer(outcome)));
     }
 
     private void refuse(CallRefusal reason, Consumer<ApiAnswer> reply) {
         calls.countRefusal(reason);
+        Log.event("refusal").with("reason", reason.text()).info();
         reply.accept(ApiAnswer.refused(statusFor(reason), reason.text(), "the call did not run"));
     }
 
--- a/entry/src/main/java/org/lovagegrade/entry/http/JobHandlers.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/JobHandlers.java
@@ -26,6 +26,7 @@
 import org.lovagegrade.wire.proto.SubmitProto;
 import org.lovagegrade.wire.proto.TaskProto;
 import org.lovagegrade.wire.proto.TaskStateProto;
+import org.lovagegrade.wire.proto.TeamKeyProto;
 
 /** Takes jobs in, cancels, shows and explains them. */
 final class JobHandlers {
@@ -175,24 +176,37 @@
             return Optional.empty();
         }
         if (!views.isFresh()) {
-            calls.countRefusal(CallRefusal.VIEW_LEASE_EXPIRED);
-            return Optional.of(ApiAnswer.refused(
+            return Optional.of(refused(
+                    spec,
+                    CallRefusal.VIEW_LEASE_EXPIRED,
                     StatusCodes.SERVICE_UNAVAILABLE,
-                    CallRefusal.VIEW_LEASE_EXPIRED.text(),
                     "this entry has no proof of the keys in force; try another"));
         }
-        Optional<String> team = views.view().key(digest).map(key -> key.getTeam());
-        if (team.isEmpty()) {
-            calls.countRefusal(CallRefusal.WRONG_KEY);
-            return Optional.of(ApiAnswer.refused(
-                    StatusCodes.UNAUTHORIZED, CallRefusal.WRONG_KEY.text(), "expected: a key in force"));
+        Optional<TeamKeyProto> key = views.view().key(digest);
+        if (key.isEmpty()) {
+            return Optional.of(
+                    refused(spec, CallRefusal.WRONG_KEY, StatusCodes.UNAUTHORIZED, "expected: a key in force"));
         }
         if (spec.getTeam().isEmpty()) {
-            spec.setTeam(team.get());
+            spec.setTeam(key.get().getTeam());
         }
+        Log.event("keyUse")
+                .with("key", key.get().getId())
+                .with("team", key.get().getTeam())
+                .with("job", spec.getId())
+                .info();
         return Optional.empty();
     }
 
+    private ApiAnswer refused(JobSpecProto.Builder spec, CallRefusal reason, int httpStatus, String detail) {
+        calls.countRefusal(reason);
+        Log.event("refusal")
+                .with("job", spec.getId())
+                .with("reason", reason.text())
+                .info();
+        return ApiAnswer.refused(httpStatus, reason.text(), detail);
+    }
+
     private static ApiAnswer describeAll(QueryReplyProto found) {
         ObjectNode body = ApiAnswer.object();
         ArrayNode jobs = body.putArray("jobs");
--- a/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
@@ -10,8 +10,11 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongUnaryOperator;
+import org.lovagegrade.state.consensus.internal.IncomingSnapshot;
+import org.lovagegrade.state.consensus.internal.MembershipChange;
 import org.lovagegrade.state.consensus.internal.MembershipHistory;
 import org.lovagegrade.state.consensus.internal.PeerProgress;
+import org.lovagegrade.state.consensus.internal.Quorum;
 import org.lovagegrade.wire.proto.AppendReplyProto;
 import org.lovagegrade.wire.proto.AppendRequestProto;
 import org.lovagegrade.wire.proto.HardStateProto;
@@ -42,7 +45,6 @@
  * }</pre>
  */
 public final class Raft {
-    private static final int DEFAULT_ENTRIES_PER_MESSAGE = 512;
     private static final int MAX_BYTES_PER_MESSAGE = 1024 * 1024;
     private static final int SNAPSHOT_CHUNK_BYTES = 256 * 1024;
     private static final long CAUGHT_UP_ENTRIES = 64;
@@ -65,6 +67,7 @@
     private final Map<String, PeerProgress> peers = new TreeMap<>();
     private final Set<String> votes = new HashSet<>();
     private final Map<String, Long> joiners = new TreeMap<>();
+    private final IncomingSnapshot incoming = new IncomingSnapshot();
     private List<RaftMessageProto> outbox = new ArrayList<>();
     private List<LogEntryProto> committed = new ArrayList<>();
     private InstalledSnapshot installed;
@@ -81,10 +84,8 @@
     private long leaderSinceMs;
     private boolean transferring;
     private long transferUntilMs;
-    private ByteString incomingSnapshot = ByteString.EMPTY;
-    private long incomingSnapshotIndex;
 
-    private Raft(Builder builder, long nowMs) {
+    Raft(RaftBuilder builder, long nowMs) {
         this.group = builder.group;
         this.self = builder.self;
         this.timings = builder.timings;
@@ -107,87 +108,6 @@
         scheduleElection(nowMs);
     }
 
-    /** Gathers what a replica needs. */
-    public static final class Builder {
-        private final ReplicaId self;
-        private final RaftStorage storage;
-        private int group;
-        private RaftTimings timings = RaftTimings.defaults();
-        private RaftRules rules = RaftRules.safe();
-        private LongUnaryOperator randomBelow = bound -> bound / 2;
-        private int entriesPerMessage = DEFAULT_ENTRIES_PER_MESSAGE;
-
-        private Builder(ReplicaId self, RaftStorage storage) {
-            this.self = self;
-            this.storage = storage;
-        }
-
-        /**
-         * Sets the group that this replica belongs to; messages of others are dropped.
-         *
-         * @param id the group's number
-         * @return this builder
-         */
-        public Builder ofGroup(int id) {
-            this.group = id;
-            return this;
-        }
-
-        /**
-         * Sets the times to go by.
-         *
-         * @param chosen the timings
-         * @return this builder
-         */
-        public Builder timedBy(RaftTimings chosen) {
-            this.timings = chosen;
-            return this;
-        }
-
-        /**
-         * Replaces rules, for tests of the checks.
-         *
-         * @param chosen the rules
-         * @return this builder
-         */
-        public Builder ruledBy(RaftRules chosen) {
-            this.rules = chosen;
-            return this;
-        }
-
-        /**
-         * Sets the source of randomness for election timeouts.
-         *
-         * @param source gives a number from 0 to below its argument
-         * @return this builder
-         */
-        public Builder randomizedBy(LongUnaryOperator source) {
-            this.randomBelow = source;
-            return this;
-        }
-
-        /**
-         * Sets how many entries a message carries at most.
-         *
-         * @param count at least 1
-         * @return this builder
-         */
-        public Builder sendingAtMost(int count) {
-            this.entriesPerMessage = count;
-            return this;
-        }
-
-        /**
-         * Creates the replica as a follower.
-         *
-         * @param nowMs the present time in milliseconds
-         * @return the replica
-         */
-        public Raft startingAt(long nowMs) {
-            return new Raft(this, nowMs);
-        }
-    }
-
     /**
      * Begins to describe a replica.
      *
@@ -195,8 +115,8 @@
      * @param storage what it keeps
      * @return a builder
      */
-    public static Builder replica(ReplicaId self, RaftStorage storage) {
-        return new Builder(self, storage);
+    public static RaftBuilder replica(ReplicaId self, RaftStorage storage) {
+        return new RaftBuilder(self, storage);
     }
 
     /**
@@ -206,10 +126,9 @@
      * @param nowMs the present time in milliseconds
      */
     public void receive(RaftMessageProto message, long nowMs) {
-        if (message.getGroup() != group || !message.getTo().equals(self.toString())) {
-            if (!message.hasJoin() || message.getGroup() != group) {
-                return;
-            }
+        boolean isForThis = message.hasJoin() || message.getTo().equals(self.toString());
+        if (message.getGroup() != group || !isForThis) {
+            return;
         }
         if (message.hasJoin()) {
             joiners.put(message.getFrom(), nowMs);
@@ -473,7 +392,7 @@
         scheduleElection(nowMs);
         votes.clear();
         votes.add(self.toString());
-        if (hasQuorum(votes)) {
+        if (Quorum.granted(membership().getVotersList(), votes)) {
             wonVotes(preVote, nowMs);
             return;
         }
@@ -540,7 +459,7 @@
             return;
         }
         votes.add(message.getFrom());
-        if (hasQuorum(votes)) {
+        if (Quorum.granted(membership().getVotersList(), votes)) {
             wonVotes(reply.getPreVote(), nowMs);
         }
     }
@@ -687,32 +606,17 @@
     }
 
     private long quorumMatch() {
-        List<Long> matches = new ArrayList<>();
-        for (String voter : membership().getVotersList()) {
+        return Quorum.reached(membership().getVotersList(), voter -> {
             PeerProgress progress = peers.get(voter);
-            boolean isSelf = voter.equals(self.toString());
-            matches.add(isSelf ? syncedIndex : progress == null ? 0 : progress.matchIndex);
-        }
-        return quorumValue(matches);
+            return voter.equals(self.toString()) ? syncedIndex : progress == null ? 0 : progress.matchIndex;
+        });
     }
 
     private long quorumAckMs(long nowMs) {
-        List<Long> acks = new ArrayList<>();
-        for (String voter : membership().getVotersList()) {
+        return Quorum.reached(membership().getVotersList(), voter -> {
             PeerProgress progress = peers.get(voter);
-            boolean isSelf = voter.equals(self.toString());
-            acks.add(isSelf ? nowMs : progress == null ? Long.MIN_VALUE / 2 : progress.ackedSentAtMs);
-        }
-        return quorumValue(acks);
-    }
-
-    /** The greatest value that a quorum has reached. */
-    private static long quorumValue(List<Long> values) {
-        if (values.isEmpty()) {
-            return Long.MIN_VALUE / 2;
-        }
-        values.sort(null);
-        return values.get((values.size() - 1) / 2);
+            return voter.equals(self.toString()) ? nowMs : progress == null ? Quorum.NOTHING : progress.ackedSentAtMs;
+        });
     }
 
     private void commitTo(long index) {
@@ -827,23 +731,16 @@
             replyToSnapshot(message.getFrom(), chunk, 0, true);
             return;
         }
-        if (incomingSnapshotIndex != meta.getIndex()) {
-            incomingSnapshotIndex = meta.getIndex();
-            incomingSnapshot = ByteString.EMPTY;
-        }
-        if (chunk.getOffset() != incomingSnapshot.size()) {
-            replyToSnapshot(message.getFrom(), chunk, incomingSnapshot.size(), false);
-            return;
-        }
-        incomingSnapshot = incomingSnapshot.concat(chunk.getData());
-        if (chunk.getLast()) {
+        boolean isWhole = incoming.add(chunk);
+        long nextOffset = incoming.nextOffset();
+        if (isWhole) {
             install(meta);
         }
-        replyToSnapshot(message.getFrom(), chunk, incomingSnapshot.size(), chunk.getLast());
+        replyToSnapshot(message.getFrom(), chunk, nextOffset, isWhole);
     }
 
     private void install(SnapshotMetaProto meta) {
-        ByteString data = incomingSnapshot;
+        ByteString data = incoming.take();
         storage.saveSnapshot(meta, data);
         memberships.truncatedFrom(meta.getIndex());
         memberships.snapshotAt(meta.getIndex(), meta.getMembership());
@@ -853,8 +750,6 @@
         installed = new InstalledSnapshot(meta, data);
         committed.clear();
         commitIndex = meta.getIndex();
-        incomingSnapshot = ByteString.EMPTY;
-        incomingSnapshotIndex = 0;
     }
 
     private void replyToSnapshot(String to, SnapshotChunkProto chunk, long nextOffset, boolean done) {
@@ -899,7 +794,7 @@
             return;
         }
         for (String joiner : joiners.keySet()) {
-            Optional<MembershipProto> next = nextMembership(joiner);
+            Optional<MembershipProto> next = MembershipChange.next(membership(), joiner, isCaughtUp(joiner));
             if (next.isPresent()) {
                 appendAsLeader(LogEntryProto.newBuilder().setMembership(next.get()));
                 syncPeers(nowMs);
@@ -909,42 +804,9 @@
         }
     }
 
-    private Optional<MembershipProto> nextMembership(String joiner) {
-        MembershipProto now = membership();
-        if (now.getVotersList().contains(joiner)) {
-            return Optional.empty();
-        }
-        String name = ReplicaId.parse(joiner).name();
-        if (!now.getLearnersList().contains(joiner)) {
-            return Optional.of(withoutName(now.getVotersList(), now.getLearnersList(), "", name)
-                    .addLearners(joiner)
-                    .build());
-        }
+    private boolean isCaughtUp(String joiner) {
         PeerProgress progress = peers.get(joiner);
-        if (progress == null || progress.matchIndex + CAUGHT_UP_ENTRIES < storage.lastIndex()) {
-            return Optional.empty();
-        }
-        boolean lostIdentityVotes = now.getVotersList().stream()
-                .anyMatch(voter -> ReplicaId.parse(voter).name().equals(name));
-        if (lostIdentityVotes) {
-            return Optional.of(withoutName(now.getVotersList(), now.getLearnersList(), name, "")
-                    .build());
-        }
-        return Optional.of(withoutName(now.getVotersList(), now.getLearnersList(), "", name)
-                .addVoters(joiner)
-                .build());
-    }
-
-    private static MembershipProto.Builder withoutName(
-            List<String> voters, List<String> learners, String voterName, String learnerName) {
-        MembershipProto.Builder builder = MembershipProto.newBuilder();
-        voters.stream()
-                .filter(id -> !ReplicaId.parse(id).name().equals(voterName))
-                .forEach(builder::addVoters);
-        learners.stream()
-                .filter(id -> !ReplicaId.parse(id).name().equals(learnerName))
-                .forEach(builder::addLearners);
-        return builder;
+        return progress != null && progress.matchIndex + CAUGHT_UP_ENTRIES >= storage.lastIndex();
     }
 
     private void syncPeers(long nowMs) {
@@ -961,13 +823,6 @@
         return membership().getVotersList().contains(id);
     }
 
-    private boolean hasQuorum(Set<String> granted) {
-        long voters = membership().getVotersCount();
-        long votesForUs =
-                membership().getVotersList().stream().filter(granted::contains).count();
-        return votesForUs * 2 > voters;
-    }
-
     private RaftMessageProto.Builder message(String to) {
         return RaftMessageProto.newBuilder()
                 .setGroup(group)
--- /dev/null
+++ b/state/src/main/java/org/lovagegrade/state/machine/ConfigObject.java
@@ -0,0 +1,26 @@
+package org.lovagegrade.state.machine;
+
+import org.lovagegrade.wire.proto.ConfigChangeProto;
+
+/** Names the object that a change of configuration is about. */
+public final class ConfigObject {
+    private ConfigObject() {}
+
+    /**
+     * The name by which records and conflicts speak of the object.
+     *
+     * @param change the change
+     * @return its kind and id, for example {@code team/norte}
+     */
+    public static String nameOf(ConfigChangeProto change) {
+        return switch (change.getChangeCase()) {
+            case SET_TEAM -> "team/" + change.getSetTeam().getId();
+            case REMOVE_TEAM -> "team/" + change.getRemoveTeam();
+            case SET_CLASS -> "class/" + change.getSetClass().getId();
+            case REMOVE_CLASS -> "class/" + change.getRemoveClass();
+            case GIVE_KEY -> "key/" + change.getGiveKey().getId();
+            case WITHDRAW_KEY -> "key/" + change.getWithdrawKey();
+            default -> "none/";
+        };
+    }
+}
--- a/state/src/main/java/org/lovagegrade/state/machine/internal/ConfigStore.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/internal/ConfigStore.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.lovagegrade.state.machine.ConfigObject;
 import org.lovagegrade.state.machine.Outcomes;
 import org.lovagegrade.state.machine.RefusalReason;
 import org.lovagegrade.wire.proto.ChangeAuthorProto;
@@ -110,7 +111,7 @@
      */
     public OutcomeProto apply(ConfigureProto request) {
         ConfigChangeProto change = request.getChange();
-        String object = objectOf(change);
+        String object = ConfigObject.nameOf(change);
         long present = presentRevision(change);
         if (request.getBaseRevision() != present) {
             return Outcomes.conflict(describeConflict(object, request.getBaseRevision(), present), present);
@@ -150,18 +151,6 @@
                 : value.toString().replaceAll("\\s+", " ").strip();
     }
 
-    private static String objectOf(ConfigChangeProto change) {
-        return switch (change.getChangeCase()) {
-            case SET_TEAM -> "team/" + change.getSetTeam().getId();
-            case REMOVE_TEAM -> "team/" + change.getRemoveTeam();
-            case SET_CLASS -> "class/" + change.getSetClass().getId();
-            case REMOVE_CLASS -> "class/" + change.getRemoveClass();
-            case GIVE_KEY -> "key/" + change.getGiveKey().getId();
-            case WITHDRAW_KEY -> "key/" + change.getWithdrawKey();
-            default -> "none/";
-        };
-    }
-
     private long presentRevision(ConfigChangeProto change) {
         return switch (change.getChangeCase()) {
             case SET_TEAM -> revisionOf(teams.get(change.getSetTeam().getId()));
--- a/state/src/main/java/org/lovagegrade/state/replica/Replica.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Replica.java
@@ -25,17 +25,12 @@
 import org.lovagegrade.state.scheduling.StatusQueries;
 import org.lovagegrade.wire.proto.CommandProto;
 import org.lovagegrade.wire.proto.CommandReplyProto;
-import org.lovagegrade.wire.proto.CommandRequestProto;
-import org.lovagegrade.wire.proto.DecisionProto;
 import org.lovagegrade.wire.proto.EnvelopeProto;
-import org.lovagegrade.wire.proto.HeartbeatBatchAnswerProto;
 import org.lovagegrade.wire.proto.LogEntryProto;
 import org.lovagegrade.wire.proto.OutcomeProto;
 import org.lovagegrade.wire.proto.OutcomeStatusProto;
-import org.lovagegrade.wire.proto.QueryReplyProto;
 import org.lovagegrade.wire.proto.RaftMessageProto;
 import org.lovagegrade.wire.proto.SnapshotMetaProto;
-import org.lovagegrade.wire.proto.ViewReplyProto;
 
 /**
  * Runs one replica on one thread: messages in, one sync for all that they wrote, messages out, commands applied.
@@ -235,7 +230,7 @@
             return;
         }
         Applied applied = machine.apply(parse(entry));
-        note(applied, entry.getIndex());
+        AuditLines.write(applied, entry.getIndex());
         if (duties != null) {
             duties.applied(applied, clock.nowMs());
         }
@@ -254,54 +249,6 @@
         }
     }
 
-    private void note(Applied applied, long index) {
-        CommandProto command = applied.command();
-        if (command.hasDecisions()) {
-            noteDecisions(applied, index);
-            return;
-        }
-        Log.event("applied")
-                .with("index", index)
-                .with("command", command.getBodyCase().name())
-                .with("requestId", command.getRequestId())
-                .with("object", describe(command))
-                .with("status", applied.outcome().getStatus().name())
-                .with("reason", applied.outcome().getReason())
-                .with("revision", applied.outcome().getRevision())
-                .with("repeated", applied.repeated())
-                .info();
-    }
-
-    /** One line for each decision that took effect, the same on every replica. */
-    private static void noteDecisions(Applied applied, long index) {
-        for (DecisionProto decision : applied.command().getDecisions().getDecisionsList()) {
-            if (applied.late().contains(decision)) {
-                continue;
-            }
-            Log.event("decision")
-                    .with("index", index)
-                    .with("action", decision.getAction().name())
-                    .with("job", decision.getJob())
-                    .with("task", decision.getTask())
-                    .with("attempt", decision.getAttempt())
-                    .with("worker", decision.getWorker())
-                    .with("reason", decision.getReason())
-                    .with("leaseMs", decision.getLeaseMs())
-                    .info();
-        }
-    }
-
-    private static String describe(CommandProto command) {
-        return switch (command.getBodyCase()) {
-            case SUBMIT -> command.getSubmit().getSpec().getId();
-            case CANCEL -> command.getCancel().getJob();
-            case CONFIGURE ->
-                command.getConfigure().getOperator() + ": "
-                        + command.getConfigure().getChange().getChangeCase();
-            default -> "";
-        };
-    }
-
     private void lead(long nowMs) {
         boolean mayDecide = raft.holdsLease(nowMs);
         if (!raft.isLeader() && !pending.isEmpty()) {
@@ -357,7 +304,7 @@
         }
         if (duties == null || !raft.holdsLease(nowMs)) {
             metrics.count("lovagegrade_state_refusals", StateRefusal.NOT_LEADER);
-            notLeader(request).ifPresent(reply);
+            notLeader(request.getBodyCase()).ifPresent(reply);
             return;
         }
         switch (request.getBodyCase()) {
@@ -385,38 +332,14 @@
         OptionalLong index = raft.propose(
                 command.toBuilder().setAtMs(wallClock.nowMs()).build().toByteString());
         if (index.isEmpty()) {
-            notLeader(EnvelopeProto.newBuilder()
-                            .setCommandRequest(CommandRequestProto.getDefaultInstance())
-                            .build())
-                    .ifPresent(reply);
+            notLeader(EnvelopeProto.BodyCase.COMMAND_REQUEST).ifPresent(reply);
             return;
         }
         pending.put(index.getAsLong(), new Pending(raft.term(), reply));
     }
 
-    private Optional<EnvelopeProto> notLeader(EnvelopeProto request) {
-        String leader = raft.isLeader() ? "" : raft.leader();
-        EnvelopeProto.Builder envelope = EnvelopeProto.newBuilder();
-        switch (request.getBodyCase()) {
-            case COMMAND_REQUEST ->
-                envelope.setCommandReply(CommandReplyProto.newBuilder()
-                        .setLeader(leader)
-                        .setOutcome(OutcomeProto.newBuilder().setStatus(OutcomeStatusProto.NOT_LEADER)));
-            case HEARTBEAT_BATCH ->
-                envelope.setHeartbeatAnswer(HeartbeatBatchAnswerProto.newBuilder()
-                        .setLeader(leader)
-                        .setStatus(OutcomeStatusProto.NOT_LEADER));
-            case VIEW_REQUEST ->
-                envelope.setViewReply(
-                        ViewReplyProto.newBuilder().setLeader(leader).setStatus(OutcomeStatusProto.NOT_LEADER));
-            case QUERY_REQUEST ->
-                envelope.setQueryReply(
-                        QueryReplyProto.newBuilder().setLeader(leader).setStatus(OutcomeStatusProto.NOT_LEADER));
-            default -> {
-                return Optional.empty();
-            }
-        }
-        return Optional.of(envelope.build());
+    private Optional<EnvelopeProto> notLeader(EnvelopeProto.BodyCase request) {
+        return NotLeaderAnswers.to(request, raft.isLeader() ? "" : raft.leader());
     }
 
     private static EnvelopeProto reply(OutcomeProto outcome) {
