--- a/cli/src/main/java/org/lovagegrade/cli/api/ApiClient.java
+++ b/cli/src/main/java/org/lovagegrade/cli/api/ApiClient.java
@@ -23,6 +23,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long ATTEMPT_TIMEOUT_MS = 12_000;
     private static final long GIVE_UP_MS = 30_000;
+    private static final long GIVE_UP_UNREACHED_MS = 3_000;
     private static final long PAUSE_MS = 200;
     private static final int FIRST_ERROR_STATUS = 400;
 
@@ -46,11 +47,16 @@
      * @return the answer, or what became of the request
      */
     public ApiReply send(ApiCall call) {
-        long giveUpMs = clock.nowMs() + GIVE_UP_MS;
+        long giveUpMs = clock.nowMs() + GIVE_UP_UNREACHED_MS;
+        boolean wasReached = false;
         boolean mayHaveRun = false;
         ApiReply last = failed(ExitCode.REFUSED, "no entry could be reached at " + entries);
         for (int i = 0; clock.nowMs() < giveUpMs; i++) {
             HttpResult result = attempt(call, entries.get(i % entries.size()));
+            if (!wasReached && !(result instanceof HttpResult.NotSent)) {
+                wasReached = true;
+                giveUpMs += GIVE_UP_MS;
+            }
             if (result instanceof HttpResult.Whole whole) {
                 ApiReply reply = toReply(whole);
                 boolean noLeader = reply.json().path("reason").asText().equals("noLeader");
--- a/integration-tests/src/test/java/org/lovagegrade/integration/WorkUnderFailureTest.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/WorkUnderFailureTest.java
@@ -77,6 +77,16 @@
         });
     }
 
+    @Test
+    void shouldSurviveAGracefulShutdownOfTheLeader() {
+        submitWhile(fleet -> {
+            String leader = fleet.leader();
+            fleet.program(leader).terminate();
+            fleet.program(leader).awaitExit();
+            fleet.startProgram(leader);
+        });
+    }
+
     @Test
     void shouldSurviveTheDeathOfAFollowerAndAnEntry() {
         submitWhile(fleet -> {
--- a/state/src/main/java/org/lovagegrade/state/scheduling/StatusQueries.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/StatusQueries.java
@@ -1,5 +1,7 @@
 package org.lovagegrade.state.scheduling;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Locale;
 import java.util.Optional;
 import org.lovagegrade.core.Explanation;
@@ -15,6 +17,7 @@
 /** Answers questions about jobs and the fleet from the leader's state. */
 public final class StatusQueries {
     private static final double PERCENT = 100.0;
+    private static final int MOST_JOBS_LISTED = 1_000;
 
     private final StateMachine machine;
     private final LeaderDuties duties;
@@ -73,13 +76,18 @@
                         || team.equals(Optional.of(job.getSpec().getTeam())));
     }
 
+    /** The newest jobs only, so that the answer fits a message whatever the fleet runs. */
     private QueryReplyProto jobs(QueryRequestProto query, Optional<String> team) {
-        QueryReplyProto.Builder reply = QueryReplyProto.newBuilder();
-        machine.jobs().stream()
-                .filter(job -> query.getOperator()
-                        || team.equals(Optional.of(job.getSpec().getTeam())))
-                .forEach(job -> reply.addJobs(job.build()));
-        return reply.build();
+        Deque<JobProto> newest = new ArrayDeque<>();
+        for (JobProto.Builder job : machine.jobs()) {
+            if (query.getOperator() || team.equals(Optional.of(job.getSpec().getTeam()))) {
+                newest.add(job.build());
+            }
+            if (newest.size() > MOST_JOBS_LISTED) {
+                newest.remove();
+            }
+        }
+        return QueryReplyProto.newBuilder().addAllJobs(newest).build();
     }
 
     private QueryReplyProto explain(QueryRequestProto query, Optional<String> team, long nowMs) {
