Mend: one digest, one reader of addresses; two faults found by reading

Cause, found by reading as a newcomer: a cancelled job that still held a worker did not keep its team and class from being removed, and the next leader would have failed to restore it; an operator's key that came with a call was passed on to the endpoint.

Change: both mended with a test each; answers that carry another call's id have a test of their own; KeyDigest and AddressSettings serve all programs.

Seen: the new tests pass; the first two failed by reading the code before the change, not by a run.

--- a/cli/src/main/java/org/lovagegrade/cli/commands/ConfigCommands.java
+++ b/cli/src/main/java/org/lovagegrade/cli/commands/ConfigCommands.java
@@ -2,9 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.List;
@@ -17,6 +14,7 @@
 import org.lovagegrade.cli.api.ApiCall;
 import org.lovagegrade.cli.api.ApiClient;
 import org.lovagegrade.cli.api.ApiReply;
+import org.lovagegrade.kernel.KeyDigest;
 
 /** The commands by which operators change teams, classes and keys. */
 public final class ConfigCommands {
@@ -99,29 +97,23 @@
         if (session.has("limit-cores")) {
             body.put("limitCores", Words.decimal(session, "limit-cores"));
         }
-        putWhole(session, body, "limit-memory-mb", "limitMemoryMb");
-        putWhole(session, body, "limit-accelerators", "limitAccelerators");
-        putWhole(session, body, "limit-calls", "limitCalls");
+        Words.putWhole(session, body, "limit-memory-mb", "limitMemoryMb");
+        Words.putWhole(session, body, "limit-accelerators", "limitAccelerators");
+        Words.putWhole(session, body, "limit-calls", "limitCalls");
         return body;
     }
 
     private static ObjectNode classBody(Session session) throws UsageException {
         ObjectNode body = ApiClient.object().put("kind", session.option("kind"));
-        putWhole(session, body, "wait-target-ms", "waitTargetMs");
-        putWhole(session, body, "recovery-target-ms", "recoveryTargetMs");
-        putWhole(session, body, "share-target-ms", "shareTargetMs");
+        Words.putWhole(session, body, "wait-target-ms", "waitTargetMs");
+        Words.putWhole(session, body, "recovery-target-ms", "recoveryTargetMs");
+        Words.putWhole(session, body, "share-target-ms", "shareTargetMs");
         if (session.has("open-team")) {
             body.put("openTeam", session.option("open-team"));
         }
         return body;
     }
 
-    private static void putWhole(Session session, ObjectNode body, String option, String field) throws UsageException {
-        if (session.has(option)) {
-            body.put(field, Words.whole(session, option));
-        }
-    }
-
     private static ExitCode change(Session session, String kind, Body body) throws UsageException {
         String action = Words.at(session, 0, "set, remove or list");
         return switch (action) {
@@ -147,7 +139,8 @@
             throw new UsageException("--team TEAM", "no --team");
         }
         String secret = session.has("secret") ? session.option("secret") : newSecret();
-        ObjectNode body = ApiClient.object().put("team", session.option("team")).put("secretSha256", digest(secret));
+        ObjectNode body =
+                ApiClient.object().put("team", session.option("team")).put("secretSha256", KeyDigest.of(secret));
         ExitCode exitCode = put(session, "keys", body);
         if (exitCode == ExitCode.DONE && !session.has("secret")) {
             session.say("the secret, shown this once: " + secret);
@@ -161,15 +154,6 @@
         return HexFormat.of().formatHex(random);
     }
 
-    private static String digest(String secret) {
-        try {
-            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(sha256.digest(secret.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("expected: a Java runtime with SHA-256", e);
-        }
-    }
-
     private static ExitCode list(Session session, String kind) {
         ApiReply reply = session.send(ApiCall.get("/v1/config"));
         Table table = switch (kind) {
--- a/cli/src/main/java/org/lovagegrade/cli/commands/JobCommands.java
+++ b/cli/src/main/java/org/lovagegrade/cli/commands/JobCommands.java
@@ -78,9 +78,9 @@
             body.put("payload", session.option("payload"));
         }
         body.put("tasks", session.has("tasks") ? Words.whole(session, "tasks") : 1);
-        putWhole(session, body, "memory-mb", "memoryMb");
-        putWhole(session, body, "accelerators", "accelerators");
-        putWhole(session, body, "declared-run-ms", "declaredRunMs");
+        Words.putWhole(session, body, "memory-mb", "memoryMb");
+        Words.putWhole(session, body, "accelerators", "accelerators");
+        Words.putWhole(session, body, "declared-run-ms", "declaredRunMs");
         ApiReply reply = session.send(
                 ApiCall.command("POST", "/v1/jobs", session.requestId("job")).withBody(body.toString()));
         ExitCode exitCode = session.show(
@@ -90,12 +90,6 @@
                 : exitCode;
     }
 
-    private static void putWhole(Session session, ObjectNode body, String option, String field) throws UsageException {
-        if (session.has(option)) {
-            body.put(field, Words.whole(session, option));
-        }
-    }
-
     private static ExitCode follow(Session session, String job) {
         String last = "";
         while (true) {
--- a/cli/src/main/java/org/lovagegrade/cli/commands/Words.java
+++ b/cli/src/main/java/org/lovagegrade/cli/commands/Words.java
@@ -1,5 +1,6 @@
 package org.lovagegrade.cli.commands;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import org.lovagegrade.cli.Session;
 import org.lovagegrade.cli.UsageException;
@@ -31,4 +32,11 @@
             throw new UsageException("a whole number for --" + option, session.option(option));
         }
     }
+
+    /** Copies a whole number from an option to a field, if the option is there. */
+    static void putWhole(Session session, ObjectNode body, String option, String field) throws UsageException {
+        if (session.has(option)) {
+            body.put(field, whole(session, option));
+        }
+    }
 }
--- a/entry/src/main/java/org/lovagegrade/entry/EntrySettings.java
+++ b/entry/src/main/java/org/lovagegrade/entry/EntrySettings.java
@@ -1,12 +1,13 @@
 package org.lovagegrade.entry;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.lovagegrade.kernel.settings.Settings;
 import org.lovagegrade.kernel.settings.SettingsException;
 import org.lovagegrade.wire.Address;
+import org.lovagegrade.wire.AddressSettings;
 import org.lovagegrade.wire.proto.EntryMemberProto;
 
 /**
@@ -25,7 +26,7 @@
         EntryMemberProto self,
         Address http,
         Address peer,
-        List<NamedAddress> replicas,
+        Map<String, Address> replicas,
         List<Address> seeds,
         Set<String> operatorKeyDigests,
         String routing,
@@ -36,14 +37,6 @@
     private static final String DIGEST_PATTERN = "[0-9a-f]{64}";
     private static final Set<String> ROUTINGS = Set.of("shared-view", "random", "local-least");
 
-    /**
-     * A named process.
-     *
-     * @param name its name
-     * @param address where it listens
-     */
-    public record NamedAddress(String name, Address address) {}
-
     /**
      * Reads and checks the settings.
      *
@@ -63,8 +56,9 @@
         if (advertisedPeer == null) {
             settings.reject("advertisedPeerAddress", advertised, "host:port");
         }
-        List<NamedAddress> replicas = readReplicas(settings);
-        List<Address> seeds = readSeeds(settings);
+        Map<String, Address> replicas = AddressSettings.named(settings, "replicas");
+        List<Address> seeds =
+                List.copyOf(AddressSettings.unnamed(settings, "entrySeeds").values());
         Set<String> digests = readDigests(settings);
         String routing = settings.optionalText("routing", "one of " + ROUTINGS).orElse("shared-view");
         if (!ROUTINGS.contains(routing)) {
@@ -91,28 +85,6 @@
                 drainMs);
     }
 
-    private static List<NamedAddress> readReplicas(Settings settings) {
-        List<NamedAddress> replicas = new ArrayList<>();
-        for (Settings replica : settings.objects("replicas", "a list of {name, address}")) {
-            String name = replica.text("name", "the replica's name");
-            String address = replica.text("address", "host:port");
-            Address.parse(address)
-                    .ifPresentOrElse(
-                            parsed -> replicas.add(new NamedAddress(name, parsed)),
-                            () -> replica.reject("address", address, "host:port"));
-        }
-        return List.copyOf(replicas);
-    }
-
-    private static List<Address> readSeeds(Settings settings) {
-        List<Address> seeds = new ArrayList<>();
-        for (Settings seed : settings.objects("entrySeeds", "a list of {address}")) {
-            String address = seed.text("address", "host:port");
-            Address.parse(address).ifPresentOrElse(seeds::add, () -> seed.reject("address", address, "host:port"));
-        }
-        return List.copyOf(seeds);
-    }
-
     private static Set<String> readDigests(Settings settings) {
         Set<String> digests = new HashSet<>();
         for (Settings key : settings.objects("operatorKeys", "a list of {sha256}")) {
--- a/entry/src/main/java/org/lovagegrade/entry/http/CallHandler.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/CallHandler.java
@@ -15,10 +15,10 @@
 import org.lovagegrade.entry.calls.CallRefusal;
 import org.lovagegrade.entry.calls.CallRequest;
 import org.lovagegrade.entry.calls.CallService;
-import org.lovagegrade.entry.view.KeyDigest;
 import org.lovagegrade.entry.view.View;
 import org.lovagegrade.entry.view.ViewKeeper;
 import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.KeyDigest;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.wire.proto.HeaderProto;
 import org.lovagegrade.wire.proto.TeamKeyProto;
@@ -37,6 +37,8 @@
             Headers.UPGRADE,
             Headers.EXPECT,
             ApiHeaders.KEY,
+            ApiHeaders.OPERATOR_KEY,
+            ApiHeaders.OPERATOR,
             ApiHeaders.CLASS,
             ApiHeaders.IDEMPOTENT,
             ApiHeaders.DEADLINE_MS);
--- a/entry/src/main/java/org/lovagegrade/entry/http/Operators.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/Operators.java
@@ -1,7 +1,7 @@
 package org.lovagegrade.entry.http;
 
 import java.util.Set;
-import org.lovagegrade.entry.view.KeyDigest;
+import org.lovagegrade.kernel.KeyDigest;
 
 /** Tells operators by their keys, whose digests stand in the settings. */
 final class Operators {
--- a/entry/src/main/java/org/lovagegrade/entry/state/StateClient.java
+++ b/entry/src/main/java/org/lovagegrade/entry/state/StateClient.java
@@ -2,11 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.lovagegrade.entry.EntrySettings.NamedAddress;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.Loop;
 import org.lovagegrade.kernel.Service;
+import org.lovagegrade.wire.Address;
 import org.lovagegrade.wire.Loops;
 import org.lovagegrade.wire.RpcLink;
 import org.lovagegrade.wire.RpcResult;
@@ -38,15 +39,14 @@
      * Creates the client; links connect with their first request.
      *
      * @param loops the network threads
-     * @param replicas the state replicas
+     * @param replicas the state replicas by name
      * @param loop runs the choice of replicas
      * @param clock a monotonic clock
      */
-    public StateClient(Loops loops, List<NamedAddress> replicas, Loop loop, Clock clock) {
+    public StateClient(Loops loops, Map<String, Address> replicas, Loop loop, Clock clock) {
         this.loop = loop;
         this.clock = clock;
-        replicas.forEach(
-                replica -> links.add(new NamedLink(replica.name(), RpcLink.to(loops, replica.address(), clock))));
+        replicas.forEach((name, address) -> links.add(new NamedLink(name, RpcLink.to(loops, address, clock))));
     }
 
     /**
--- a/integration-tests/src/test/java/org/lovagegrade/integration/Api.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/Api.java
@@ -4,13 +4,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.lovagegrade.kernel.KeyDigest;
 import org.lovagegrade.kernel.http.HttpCaller;
 import org.lovagegrade.kernel.http.HttpHeader;
 import org.lovagegrade.kernel.http.HttpResult;
@@ -128,19 +126,10 @@
                                 "/v1/keys/norte-1",
                                 "make-key",
                                 0,
-                                "{\"team\": \"norte\", \"secretSha256\": \"" + digest("secret") + "\"}")
+                                "{\"team\": \"norte\", \"secretSha256\": \"" + KeyDigest.of("secret") + "\"}")
                         .isOk());
     }
 
-    static String digest(String secret) {
-        try {
-            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(sha256.digest(secret.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private static JsonNode parse(String text) {
         try {
             JsonNode node = JSON.readTree(text);
--- a/integration-tests/src/test/java/org/lovagegrade/integration/CallsTest.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/CallsTest.java
@@ -157,6 +157,43 @@
         }
     }
 
+    @Nested
+    final class Secrets {
+        @Test
+        void shouldNotReachTheEndpoint() {
+            // given
+            endpoint("endpoint-1", "d1", SLOTS);
+            awaitCallable("e1");
+
+            // when
+            Api.Reply reply = fleet.api("e1")
+                    .call("GET", "/headers", "secret", Map.of("Lovagegrade-Operator-Key", Fleet.OPERATOR_KEY), "");
+
+            // then
+            assertThat(reply.isOk()).isTrue();
+            assertThat(reply.text()).doesNotContain("secret");
+        }
+    }
+
+    @Nested
+    final class AnswersOfOtherCalls {
+        @Test
+        void shouldReachNobodyAndBeToldAsUnknown() {
+            // given: an endpoint that sends back the id of another call
+            FakeEndpoint mistaken = endpoint("endpoint-1", "d1", SLOTS);
+            awaitCallable("e1");
+            mistaken.answerAs("another call");
+
+            // when
+            Api.Reply reply = fleet.api("e1").call("POST", "/x", "secret", Map.of(), "a kit");
+
+            // then
+            assertThat(reply.outcome()).isEqualTo("unknown");
+            assertThat(reply.reason()).isEqualTo("answerOfOtherCall");
+            assertThat(reply.text()).doesNotContain("a kit");
+        }
+    }
+
     @Nested
     final class BrokenConnections {
         @Test
--- a/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.lovagegrade.kernel.KeyDigest;
 import org.lovagegrade.kernel.http.HttpCaller;
 import org.lovagegrade.testing.proxy.FaultProxy;
 import org.lovagegrade.wire.Address;
@@ -256,7 +257,7 @@
                 + "\", \"listenHost\": \"127.0.0.1\", \"httpPort\": " + port(entry + "-http") + ", \"peerPort\": "
                 + port(entry) + ", \"advertisedPeerAddress\": \"" + advertised + "\", \"replicas\": "
                 + replicaList(entry) + ", \"entrySeeds\": [" + seeds + "], \"operatorKeys\": [{\"sha256\": \""
-                + Api.digest(OPERATOR_KEY) + "\"}]}";
+                + KeyDigest.of(OPERATOR_KEY) + "\"}]}";
     }
 
     private String replicaList(String from) {
--- a/entry/src/main/java/org/lovagegrade/entry/view/KeyDigest.java
+++ b/kernel/src/main/java/org/lovagegrade/kernel/KeyDigest.java
@@ -1,4 +1,4 @@
-package org.lovagegrade.entry.view;
+package org.lovagegrade.kernel;
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
--- a/state/src/main/java/org/lovagegrade/state/StateSettings.java
+++ b/state/src/main/java/org/lovagegrade/state/StateSettings.java
@@ -2,11 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.TreeMap;
 import org.lovagegrade.kernel.settings.Settings;
 import org.lovagegrade.kernel.settings.SettingsException;
 import org.lovagegrade.state.consensus.RaftTimings;
 import org.lovagegrade.wire.Address;
+import org.lovagegrade.wire.AddressSettings;
 
 /**
  * The settings of {@code lovagegrade-state}.
@@ -54,7 +54,7 @@
                 "heartbeatMs", DEFAULT_HEARTBEAT_MS, LEAST_HEARTBEAT_MS, MOST_HEARTBEAT_MS, "milliseconds");
         int electionMs = settings.integer(
                 "electionTimeoutMs", DEFAULT_ELECTION_MS, LEAST_ELECTION_MS, MOST_ELECTION_MS, "milliseconds");
-        Map<String, Address> replicas = readReplicas(settings);
+        Map<String, Address> replicas = AddressSettings.named(settings, "replicas");
         if (!replicas.containsKey(name)) {
             settings.reject("replicaName", name, "one of " + replicas.keySet());
         }
@@ -68,20 +68,7 @@
                 Path.of(folder),
                 new Address(host, port),
                 new Address(host, statusPort),
-                Map.copyOf(replicas),
+                replicas,
                 RaftTimings.of(heartbeatMs, electionMs));
     }
-
-    private static Map<String, Address> readReplicas(Settings settings) {
-        Map<String, Address> replicas = new TreeMap<>();
-        for (Settings replica : settings.objects("replicas", "a list of {name, address}")) {
-            String name = replica.text("name", "the replica's name");
-            String address = replica.text("address", "host:port");
-            Address.parse(address)
-                    .ifPresentOrElse(
-                            parsed -> replicas.put(name, parsed),
-                            () -> replica.reject("address", address, "host:port"));
-        }
-        return replicas;
-    }
 }
--- a/state/src/main/java/org/lovagegrade/state/machine/internal/JobStore.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/internal/JobStore.java
@@ -97,13 +97,14 @@
     }
 
     /**
-     * Whether a job that is not over passes a test.
+     * Whether a job that is not over, or still holds a worker, passes a test.
      *
      * @param test the test of what was submitted
      * @return true if there is one
      */
     public boolean hasLiveJob(Predicate<JobSpecProto> test) {
-        return jobs.values().stream().anyMatch(job -> !isOver(job.getState()) && test.test(job.getSpec()));
+        return jobs.values().stream()
+                .anyMatch(job -> test.test(job.getSpec()) && (!isOver(job.getState()) || holds(job)));
     }
 
     /**
@@ -246,8 +247,7 @@
 
     /** Forgets the oldest jobs that are over, so that state stays bounded. */
     private void noteIfOver(JobProto.Builder job) {
-        boolean holds = job.getTasksList().stream().anyMatch(task -> task.getState() == TaskStateProto.TASK_HELD);
-        if (!isOver(job.getState()) || holds || over.contains(job.getSpec().getId())) {
+        if (!isOver(job.getState()) || holds(job) || over.contains(job.getSpec().getId())) {
             return;
         }
         over.add(job.getSpec().getId());
@@ -258,6 +258,10 @@
         }
     }
 
+    private static boolean holds(JobProto.Builder job) {
+        return job.getTasksList().stream().anyMatch(task -> task.getState() == TaskStateProto.TASK_HELD);
+    }
+
     private static boolean isOver(JobStateProto state) {
         return state == JobStateProto.ENDED || state == JobStateProto.FAILED || state == JobStateProto.CANCELLED;
     }
--- a/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
+++ b/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
@@ -228,6 +228,28 @@
             assertThat(placed.late()).hasSize(1);
         }
 
+        @Test
+        void shouldKeepTheirTeamAndClassWhileACancelledJobStillHoldsAWorker() {
+            // given
+            CancelProto cancel = CancelProto.newBuilder()
+                    .setJob("job")
+                    .setKeySha256("digest-1")
+                    .build();
+            apply("cancel", CommandProto.newBuilder().setCancel(cancel));
+            long revision = machine.configView().getClasses(0).getRevision();
+
+            // when
+            OutcomeProto early =
+                    configure("maria", revision, ConfigChangeProto.newBuilder().setRemoveClass("batch"));
+            decide(DecisionActionProto.END, 0, 1, "w1", "stopped");
+            OutcomeProto late =
+                    configure("maria", revision, ConfigChangeProto.newBuilder().setRemoveClass("batch"));
+
+            // then
+            assertThat(early.getReason()).isEqualTo("stillInUse");
+            assertThat(late.getStatus()).isEqualTo(OutcomeStatusProto.OK);
+        }
+
         @Test
         void shouldEndTheJobWhenAllHaveEnded() {
             // given
--- a/testing/src/main/java/org/lovagegrade/testing/endpoint/FakeEndpoint.java
+++ b/testing/src/main/java/org/lovagegrade/testing/endpoint/FakeEndpoint.java
@@ -63,6 +63,7 @@
     private int servedWhileLeaving;
     private boolean leaving;
     private boolean failing;
+    private String otherCallId = "";
 
     /**
      * What an endpoint is.
@@ -160,6 +161,15 @@
         loop.execute(() -> failing = fails);
     }
 
+    /**
+     * Sends back the id of another call from now on.
+     *
+     * @param callId the id
+     */
+    public void answerAs(String callId) {
+        loop.execute(() -> otherCallId = callId);
+    }
+
     /** Stops listening. */
     public void stop() {
         server.stop();
@@ -315,6 +325,14 @@
         } else if (path.startsWith("/big/")) {
             int bytes = Integer.parseInt(path.substring("/big/".length()));
             end(exchange, id, team, startedEpoch, StatusCodes.OK, "x".repeat(bytes));
+        } else if (path.equals("/headers")) {
+            end(
+                    exchange,
+                    id,
+                    team,
+                    startedEpoch,
+                    StatusCodes.OK,
+                    exchange.getRequestHeaders().toString());
         } else if (!path.equals("/stall")) {
             end(exchange, id, team, startedEpoch, StatusCodes.OK, profile.id() + " got " + body);
         }
@@ -339,7 +357,7 @@
         }
         runningByTeam.merge(team, -1, Integer::sum);
         callStates.put(id, "finished");
-        exchange.getResponseHeaders().put(CALL_ID, id);
+        exchange.getResponseHeaders().put(CALL_ID, otherCallId.isEmpty() ? id : otherCallId);
         answer(exchange, status, body);
     }
 
