State: a counter for each refusal of a command; a paused entry serves no withdrawn key

Cause: refusals of the state machine had no counter; that a paused entry acts on nothing stale was not tested.

--- a/integration-tests/src/test/java/org/lovagegrade/integration/ConfigurationTest.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/ConfigurationTest.java
@@ -19,6 +19,7 @@
 /** An accepted change is in force everywhere within seconds, never reverts, and of two racing operators one wins. */
 final class ConfigurationTest {
     private static final long IN_FORCE_MS = 10_000;
+    private static final long LONGER_THAN_A_VIEW_LEASE_MS = 4_000;
 
     private final ExecutorService operators = Executors.newFixedThreadPool(2);
 
@@ -150,6 +151,35 @@
         }
     }
 
+    @Test
+    void shouldNotServeAWithdrawnKeyAtAnEntryThatWasPausedMeanwhile() {
+        try (Fleet fleet = Fleet.start(folder, 3, 2)) {
+            // given
+            fleet.createBasics();
+            long keyRevision = fleet.api("e1")
+                    .config()
+                    .json()
+                    .path("keys")
+                    .path(0)
+                    .path("revision")
+                    .asLong();
+            fleet.program("e2").pause();
+
+            // when: the key is withdrawn while the entry sleeps for longer than its view lease
+            Await.until(
+                    "the key is withdrawn",
+                    () -> fleet.api("e1")
+                            .operator("DELETE", "/v1/keys/norte-1", "withdraw", keyRevision, "")
+                            .isOk());
+            Await.pause(LONGER_THAN_A_VIEW_LEASE_MS);
+            fleet.program("e2").resume();
+
+            // then: its very first answer is a refusal
+            assertThat(isRefused(fleet.api("e2").call("GET", "/x", "secret", Map.of(), "")))
+                    .isTrue();
+        }
+    }
+
     private static boolean isRefused(Api.Reply reply) {
         return reply.outcome().equals("not-run")
                 && List.of("wrongKey", "viewLeaseExpired").contains(reply.reason());
--- a/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
@@ -1,5 +1,9 @@
 package org.lovagegrade.state.machine;
 
+import java.util.Arrays;
+import java.util.Optional;
+import org.lovagegrade.wire.proto.OutcomeProto;
+
 /** Why the state machine refused a command; a refused command changed nothing. */
 public enum RefusalReason {
     /** The key is not known or was withdrawn. */
@@ -31,6 +35,18 @@
         this.text = text;
     }
 
+    /**
+     * Reads the reason of an answer.
+     *
+     * @param outcome the answer
+     * @return the reason, or empty if the command was not refused
+     */
+    public static Optional<RefusalReason> of(OutcomeProto outcome) {
+        return Arrays.stream(values())
+                .filter(reason -> reason.text.equals(outcome.getReason()))
+                .findFirst();
+    }
+
     /**
      * The name in answers and logs.
      *
--- a/state/src/main/java/org/lovagegrade/state/replica/Replica.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Replica.java
@@ -19,6 +19,7 @@
 import org.lovagegrade.state.log.CorruptLogException;
 import org.lovagegrade.state.log.DurableLog;
 import org.lovagegrade.state.machine.Applied;
+import org.lovagegrade.state.machine.RefusalReason;
 import org.lovagegrade.state.machine.StateMachine;
 import org.lovagegrade.state.scheduling.EntryViews;
 import org.lovagegrade.state.scheduling.LeaderDuties;
@@ -41,6 +42,8 @@
     /** The name of this service. */
     public static final String NAME = "replica";
 
+    private static final String REPLICA_REFUSALS = "lovagegrade_state_refusals";
+    private static final String COMMAND_REFUSALS = "lovagegrade_command_refusals";
     private static final long TICK_MS = 20;
     private static final long JOIN_INTERVAL_MS = 500;
     private static final long TRANSFER_WAIT_MS = 1_500;
@@ -98,7 +101,8 @@
         this.peerNames = List.copyOf(peerNames);
         this.clock = clock;
         this.wallClock = Clock.wall();
-        this.metrics = metrics.declare("lovagegrade_state_refusals", StateRefusal.class);
+        this.metrics =
+                metrics.declare(REPLICA_REFUSALS, StateRefusal.class).declare(COMMAND_REFUSALS, RefusalReason.class);
         this.appliedIndex = log.snapshotMeta().getIndex();
         this.machine = appliedIndex > 0 ? StateMachine.fromSnapshot(log.readSnapshot()) : StateMachine.empty();
     }
@@ -111,7 +115,7 @@
      */
     public void handle(EnvelopeProto request, Consumer<EnvelopeProto> reply) {
         if (queue.size() >= MAX_QUEUED) {
-            metrics.count("lovagegrade_state_refusals", StateRefusal.QUEUE_FULL);
+            metrics.count(REPLICA_REFUSALS, StateRefusal.QUEUE_FULL);
             return;
         }
         queue.add(() -> dispatch(request, reply));
@@ -231,6 +235,9 @@
         }
         Applied applied = machine.apply(parse(entry));
         AuditLines.write(applied, entry.getIndex());
+        if (!applied.repeated()) {
+            RefusalReason.of(applied.outcome()).ifPresent(reason -> metrics.count(COMMAND_REFUSALS, reason));
+        }
         if (duties != null) {
             duties.applied(applied, clock.nowMs());
         }
@@ -303,7 +310,7 @@
             return;
         }
         if (duties == null || !raft.holdsLease(nowMs)) {
-            metrics.count("lovagegrade_state_refusals", StateRefusal.NOT_LEADER);
+            metrics.count(REPLICA_REFUSALS, StateRefusal.NOT_LEADER);
             notLeader(request.getBodyCase()).ifPresent(reply);
             return;
         }
@@ -324,7 +331,7 @@
                                 .setMembership(raft.committedMembership())
                                 .setCommitIndex(raft.commitIndex()))
                         .build());
-            default -> metrics.count("lovagegrade_state_refusals", StateRefusal.UNKNOWN_REQUEST);
+            default -> metrics.count(REPLICA_REFUSALS, StateRefusal.UNKNOWN_REQUEST);
         }
     }
 
