Mend: services find each other by name, dead fields go

Cause: read as a newcomer: nothing used Kernel.find, the house style's way for services to find each other; the view request carried a flag that the leader never read; a worker's health kept a set that nothing asked.

Change: the drain and the status server find their services in the kernel; the flag and the set are gone.

--- a/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
@@ -69,7 +69,7 @@
         int otherWorkers = job.failedOn.size() - (job.failedOn.contains(workerId) ? 1 : 0);
         boolean wasSuspect = worker.health.isSuspect();
         cell.release(task);
-        cell.changeHealth(worker, () -> worker.health.failed(job.spec.id(), otherWorkers, nowMs));
+        cell.changeHealth(worker, () -> worker.health.failed(otherWorkers, nowMs));
         job.rememberFailureOn(workerId);
         if (!wasSuspect) {
             pauseAfterFailure(task, nowMs);
--- a/core/src/main/java/org/lovagegrade/core/internal/WorkerHealth.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WorkerHealth.java
@@ -1,8 +1,5 @@
 package org.lovagegrade.core.internal;
 
-import java.util.HashSet;
-import java.util.Set;
-
 /** Judges a worker by the tasks that fail on it compared with how the same jobs fare elsewhere. */
 final class WorkerHealth {
     private static final int FAILURES_TO_SUSPECT = 3;
@@ -10,7 +7,6 @@
     private static final long FIRST_PROBE_PAUSE_MS = 10_000;
     private static final long LONGEST_PROBE_PAUSE_MS = 300_000;
 
-    private final Set<String> blamedBy = new HashSet<>();
     private int blame;
     private boolean suspect;
     private boolean probing;
@@ -22,7 +18,7 @@
     }
 
     /** Notes a failure; one of a job that fails on other workers too is the job's own. */
-    void failed(String job, int otherWorkersWhereItFailed, long nowMs) {
+    void failed(int otherWorkersWhereItFailed, long nowMs) {
         if (suspect) {
             probing = false;
             probePauseMs = Math.min(LONGEST_PROBE_PAUSE_MS, probePauseMs * 2);
@@ -33,7 +29,6 @@
             return;
         }
         blame++;
-        blamedBy.add(job);
         if (blame >= FAILURES_TO_SUSPECT) {
             suspect = true;
             nextProbeMs = nowMs + probePauseMs;
@@ -42,7 +37,6 @@
 
     void succeeded() {
         blame = 0;
-        blamedBy.clear();
         suspect = false;
         probing = false;
         probePauseMs = FIRST_PROBE_PAUSE_MS;
--- a/entry/src/main/java/org/lovagegrade/entry/Drain.java
+++ b/entry/src/main/java/org/lovagegrade/entry/Drain.java
@@ -2,11 +2,11 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.lovagegrade.entry.calls.CallService;
-import org.lovagegrade.entry.endpoints.EndpointDirectory;
 import org.lovagegrade.entry.http.EntryHttp;
-import org.lovagegrade.entry.view.ViewKeeper;
 import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.Kernel;
 import org.lovagegrade.kernel.Loop;
 import org.lovagegrade.kernel.Service;
 import org.lovagegrade.kernel.logging.Log;
@@ -21,30 +21,12 @@
     private static final long LONGEST_MS = 35_000;
     private static final long CHECK_MS = 20;
 
-    private final EntryHttp http;
-    private final CallService calls;
-    private final EndpointDirectory directory;
-    private final Gossip gossip;
-    private final ViewKeeper views;
-    private final Loop loop;
+    private final Kernel kernel;
     private final Clock clock;
     private final long drainMs;
 
-    Drain(
-            EntryHttp http,
-            CallService calls,
-            EndpointDirectory directory,
-            Gossip gossip,
-            ViewKeeper views,
-            Loop loop,
-            Clock clock,
-            long drainMs) {
-        this.http = http;
-        this.calls = calls;
-        this.directory = directory;
-        this.gossip = gossip;
-        this.views = views;
-        this.loop = loop;
+    Drain(Kernel kernel, Clock clock, long drainMs) {
+        this.kernel = kernel;
         this.clock = clock;
         this.drainMs = drainMs;
     }
@@ -60,15 +42,19 @@
     @Override
     public void stop() {
         Log.event("draining").with("drainMs", drainMs).info();
+        Loop loop = kernel.find(EntryMain.LOOP_NAME, Loop.class);
+        EntryHttp http = kernel.find(EntryHttp.NAME, EntryHttp.class);
+        CallService calls = kernel.find(CallService.NAME, CallService.class);
+        Gossip gossip = kernel.find(Gossip.NAME, Gossip.class);
         http.leave();
-        CountDownLatch empty = new CountDownLatch(1);
         loop.execute(() -> {
-            directory.leave();
+            calls.leave();
             gossip.leave();
-            views.leave();
         });
-        long beganMs = clock.nowMs();
-        loop.schedule(drainMs, () -> awaitEmpty(empty, beganMs));
+        CountDownLatch empty = new CountDownLatch(1);
+        long giveUpMs = clock.nowMs() + LONGEST_MS;
+        BooleanSupplier isDone = () -> clock.nowMs() > giveUpMs || (calls.unanswered() == 0 && http.open() == 0);
+        loop.schedule(drainMs, () -> awaitDone(loop, isDone, empty));
         try {
             empty.await(LONGEST_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
@@ -76,12 +62,11 @@
         }
     }
 
-    private void awaitEmpty(CountDownLatch empty, long beganMs) {
-        boolean isOver = clock.nowMs() - beganMs > LONGEST_MS;
-        if (isOver || (calls.unanswered() == 0 && http.open() == 0)) {
+    private static void awaitDone(Loop loop, BooleanSupplier isDone, CountDownLatch empty) {
+        if (isDone.getAsBoolean()) {
             empty.countDown();
-            return;
+        } else {
+            loop.schedule(CHECK_MS, () -> awaitDone(loop, isDone, empty));
         }
-        loop.schedule(CHECK_MS, () -> awaitEmpty(empty, beganMs));
     }
 }
--- a/entry/src/main/java/org/lovagegrade/entry/EntryMain.java
+++ b/entry/src/main/java/org/lovagegrade/entry/EntryMain.java
@@ -23,7 +23,8 @@
 /** The program {@code lovagegrade-entry}: HTTP for callers, operators, workers and endpoints. */
 public final class EntryMain {
     private static final int NETWORK_THREADS = 1;
-    private static final String LOOP_NAME = "entryLoop";
+    /** The name of the loop that owns the entry's state. */
+    static final String LOOP_NAME = "entryLoop";
 
     private EntryMain() {}
 
@@ -70,7 +71,7 @@
                 loop,
                 clock,
                 metrics));
-        return Kernel.empty()
+        Kernel kernel = Kernel.empty()
                 .register(loop)
                 .register(loops)
                 .register(worker)
@@ -80,7 +81,7 @@
                 .register(RpcServer.listeningAt(loops, settings.peer(), requests::handle))
                 .register(calls)
                 .register(gossip)
-                .register(http)
-                .register(new Drain(http, calls, directory, gossip, views, loop, clock, settings.drainMs()));
+                .register(http);
+        return kernel.register(new Drain(kernel, clock, settings.drainMs()));
     }
 }
--- a/entry/src/main/java/org/lovagegrade/entry/calls/CallService.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/CallService.java
@@ -133,6 +133,11 @@
         metrics.count(REFUSALS, reason);
     }
 
+    /** Takes no new endpoints from now on and tells the present ones to choose another owner. */
+    public void leave() {
+        directory.leave();
+    }
+
     /**
      * How many calls are in flight or wait.
      *
--- a/entry/src/main/java/org/lovagegrade/entry/view/ViewKeeper.java
+++ b/entry/src/main/java/org/lovagegrade/entry/view/ViewKeeper.java
@@ -40,7 +40,6 @@
     private Map<String, Long> grants = Map.of();
     private List<EntryMemberProto> entries = List.of();
     private boolean asking;
-    private boolean leaving;
 
     /**
      * Creates the service.
@@ -126,11 +125,6 @@
         return entries;
     }
 
-    /** Tells the leader from now on that this entry is leaving. */
-    public void leave() {
-        leaving = true;
-    }
-
     @Override
     public String name() {
         return NAME;
@@ -154,7 +148,6 @@
                 .setEntry(self)
                 .setHaveRevision(view.revision())
                 .addAllUses(uses.get())
-                .setLeaving(leaving)
                 .build();
         state.ask(EnvelopeProto.newBuilder().setViewRequest(request).build(), ASK_TIMEOUT_MS, false)
                 .thenAccept(answer -> loop.execute(() -> answered(answer, askedAtMs)));
--- a/state/src/main/java/org/lovagegrade/state/StateMain.java
+++ b/state/src/main/java/org/lovagegrade/state/StateMain.java
@@ -100,12 +100,12 @@
         Loops loops = Loops.ofThreads(NETWORK_THREADS);
         PeerLinks links = new PeerLinks(loops, peers, clock);
         Replica replica = new Replica(raft, log, links::send, new ArrayList<>(peers.keySet()), clock, metrics);
-        return Kernel.empty()
+        Kernel kernel = Kernel.empty()
                 .register(loops)
                 .register(links)
                 .register(RpcServer.listeningAt(loops, settings.listen(), replica::handle))
-                .register(replica)
-                .register(new StatusServer(settings.status(), metrics, replica));
+                .register(replica);
+        return kernel.register(new StatusServer(settings.status(), metrics, kernel));
     }
 
     /** The identity on the disk; a disk without a log gets a new one and no vote until the others take it in. */
--- a/state/src/main/java/org/lovagegrade/state/StatusServer.java
+++ b/state/src/main/java/org/lovagegrade/state/StatusServer.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import org.lovagegrade.kernel.Kernel;
 import org.lovagegrade.kernel.Service;
 import org.lovagegrade.kernel.metrics.Metrics;
 import org.lovagegrade.state.replica.Replica;
@@ -16,18 +17,19 @@
 
     private final Undertow server;
     private final Metrics metrics;
-    private final Replica replica;
+    private final Kernel kernel;
+    private Replica replica;
 
     /**
      * Creates the server.
      *
      * @param listen where to listen
      * @param metrics what to serve under {@code /metrics}
-     * @param replica whose state to serve under {@code /healthz}
+     * @param kernel holds the replica whose state to serve under {@code /healthz}
      */
-    public StatusServer(Address listen, Metrics metrics, Replica replica) {
+    public StatusServer(Address listen, Metrics metrics, Kernel kernel) {
         this.metrics = metrics;
-        this.replica = replica;
+        this.kernel = kernel;
         this.server = Undertow.builder()
                 .addHttpListener(listen.port(), listen.host())
                 .setIoThreads(1)
@@ -43,6 +45,7 @@
 
     @Override
     public void start() {
+        replica = kernel.find(Replica.NAME, Replica.class);
         server.start();
     }
 
