Tests: a fleet that does not come to serve leaves no process behind

Cause: processes of tests that failed in Fleet.start were found running. Change: the fleet is closed before the failure goes on. Seen: BadInputTest and SettingsExamplesTest pass.

--- a/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
@@ -54,11 +54,16 @@
     /** Starts replicas s1.. and entries e1.., entry n in failure domain dn, and waits until the entries serve. */
     static Fleet start(Path folder, int replicas, int entries) {
         Fleet fleet = new Fleet(folder, replicas, entries, 1_000);
-        fleet.prepare();
-        fleet.replicaNames().forEach(fleet::startProgram);
-        fleet.entryNames().forEach(fleet::startProgram);
-        fleet.entryNames().forEach(fleet::awaitServing);
-        return fleet;
+        try {
+            fleet.prepare();
+            fleet.replicaNames().forEach(fleet::startProgram);
+            fleet.entryNames().forEach(fleet::startProgram);
+            fleet.entryNames().forEach(fleet::awaitServing);
+            return fleet;
+        } catch (AssertionError | RuntimeException e) {
+            fleet.close();
+            throw e;
+        }
     }
 
     List<String> replicaNames() {
