Mend: one rule says which job goes first

Cause: Placement and Reservation each compared jobs by the team order. Change: Cell.goesBefore serves both; behaviour unchanged.

--- a/core/src/main/java/org/lovagegrade/core/internal/Cell.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Cell.java
@@ -295,6 +295,11 @@
         task.held = amount;
     }
 
+    /** Whether a job goes before one of another team. */
+    boolean goesBefore(JobState job, JobState other) {
+        return rules.teamOrder().compare(job.team, job, other.team, other, living) < 0;
+    }
+
     boolean hasTeamRoom(JobState job) {
         return job.team.spec.limits().allow(job.team.used.plus(job.neededAtOnce()));
     }
--- a/core/src/main/java/org/lovagegrade/core/internal/Placement.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Placement.java
@@ -60,17 +60,13 @@
         JobState best = null;
         for (TeamState team : cell.teams()) {
             JobState job = team.waiting.firstOpen();
-            if (job != null && (best == null || goesBefore(job, best))) {
+            if (job != null && (best == null || cell.goesBefore(job, best))) {
                 best = job;
             }
         }
         return best;
     }
 
-    private boolean goesBefore(JobState job, JobState other) {
-        return cell.rules().teamOrder().compare(job.team, job, other.team, other, cell.living()) < 0;
-    }
-
     private void tryPlace(JobState job, long nowMs) {
         if (!cell.hasTeamRoom(job)) {
             park(job, Reason.TEAM_AT_LIMIT);
@@ -193,7 +189,7 @@
         JobState best = null;
         for (TeamState team : cell.teams()) {
             JobState job = team.waiting.isEmpty() ? null : firstOfTeam(team, worker, _job -> true);
-            if (job != null && (best == null || goesBefore(job, best))) {
+            if (job != null && (best == null || cell.goesBefore(job, best))) {
                 best = job;
             }
         }
--- a/core/src/main/java/org/lovagegrade/core/internal/Reservation.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Reservation.java
@@ -69,7 +69,7 @@
                 timers.wakeAt(dueMs);
                 continue;
             }
-            if (best == null || goesBefore(job, best)) {
+            if (best == null || cell.goesBefore(job, best)) {
                 best = job;
             }
         }
@@ -84,10 +84,6 @@
                 : job.workClass.waitTargetMs().orElse(PATIENCE_ABOVE_SHARE_MS);
     }
 
-    private boolean goesBefore(JobState job, JobState other) {
-        return cell.rules().teamOrder().compare(job.team, job, other.team, other, cell.living()) < 0;
-    }
-
     private JobState firstLarge(TeamState team) {
         JobState gang = team.waiting.firstParkedGang();
         JobState first = team.waiting.firstParked();
