Mend: methods that nothing calls go

Cause: PendingCall.isDone, Measures.everWaited and Metrics.gauge had no caller. Change: removed, with the state that only they read. Seen: tests of kernel (7), entry (11) and replay (27) pass; behaviour unchanged.

--- a/entry/src/main/java/org/lovagegrade/entry/calls/internal/PendingCall.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/internal/PendingCall.java
@@ -14,7 +14,6 @@
     private final Set<String> avoid = new HashSet<>();
     private final long receivedMs;
     private boolean admitted;
-    private boolean done;
     private int attempts;
     private CallDoubt doubt;
 
@@ -113,22 +112,12 @@
         return doubt;
     }
 
-    /**
-     * Whether it was answered.
-     *
-     * @return true once it was
-     */
-    public boolean isDone() {
-        return done;
-    }
-
     /**
      * Answers the caller.
      *
      * @param outcome the outcome
      */
     public void finish(CallOutcome outcome) {
-        done = true;
         caller.accept(outcome);
     }
 }
--- a/kernel/src/main/java/org/lovagegrade/kernel/metrics/Metrics.java
+++ b/kernel/src/main/java/org/lovagegrade/kernel/metrics/Metrics.java
@@ -5,7 +5,6 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.Locale;
-import java.util.function.Supplier;
 
 /**
  * The metrics of one process in the Prometheus format; label values are enum constants, so that they stay bounded.
@@ -65,16 +64,6 @@
                 .record(value);
     }
 
-    /**
-     * Shows a value that is read at each scrape.
-     *
-     * @param name the name of the gauge
-     * @param value reads the value; must be safe to call from any thread
-     */
-    public void gauge(String name, Supplier<Number> value) {
-        io.micrometer.core.instrument.Gauge.builder(name, value).register(registry);
-    }
-
     /**
      * Renders all metrics.
      *
--- a/replay/src/main/java/org/lovagegrade/replay/internal/Measures.java
+++ b/replay/src/main/java/org/lovagegrade/replay/internal/Measures.java
@@ -79,10 +79,6 @@
         return waitingMs == 0 ? 0 : packingMs / waitingMs;
     }
 
-    boolean everWaited() {
-        return waitingMs > 0;
-    }
-
     /** The mean of what each team missed, for teams that ever waited in a full cell. */
     Map<String, Double> shareDistances() {
         Map<String, Double> distances = new TreeMap<>();
