Mend: tests ask the fleet for a follower in one place

Cause: three tests searched for a replica that does not lead, each its own way. Change: Fleet.follower; assertions unchanged. Seen: WorkUnderFailureTest#shouldSurviveTheDeathOfAFollower* and ConfigurationTest#shouldBeInForce* pass.

--- a/integration-tests/src/test/java/org/lovagegrade/integration/ConfigurationTest.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/ConfigurationTest.java
@@ -190,10 +190,7 @@
         try (Fleet fleet = Fleet.start(folder, 3, 2)) {
             // given: a replica and an entry that are down while 500 changes pass them by
             fleet.createBasics();
-            String down = fleet.replicaNames().stream()
-                    .filter(name -> !name.equals(fleet.leader()))
-                    .findFirst()
-                    .orElseThrow();
+            String down = fleet.follower();
             fleet.program(down).kill();
             fleet.program("e2").kill();
             long revision = teamRevision(fleet, "e1");
--- a/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
@@ -142,6 +142,15 @@
                         .orElse(null));
     }
 
+    /** A replica that does not lead. */
+    String follower() {
+        String leader = leader();
+        return replicaNames().stream()
+                .filter(name -> !name.equals(leader))
+                .findFirst()
+                .orElseThrow();
+    }
+
     JsonNode replicaStatus(String replica) {
         return new Api(http, "127.0.0.1:" + port(replica + "-status"))
                 .get("/healthz")
--- a/integration-tests/src/test/java/org/lovagegrade/integration/StateMeasurements.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/StateMeasurements.java
@@ -58,10 +58,7 @@
         try (Fleet fleet = Fleet.start(folder, 3, 1)) {
             // given: a follower that is down while changes pass it by
             fleet.createBasics();
-            String down = fleet.replicaNames().stream()
-                    .filter(name -> !name.equals(fleet.leader()))
-                    .findFirst()
-                    .orElseThrow();
+            String down = fleet.follower();
             fleet.program(down).kill();
             long revision = fleet.api("e1")
                     .config()
--- a/integration-tests/src/test/java/org/lovagegrade/integration/WorkUnderFailureTest.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/WorkUnderFailureTest.java
@@ -90,11 +90,7 @@
     @Test
     void shouldSurviveTheDeathOfAFollowerAndAnEntry() {
         submitWhile(fleet -> {
-            String leader = fleet.leader();
-            String follower = fleet.replicaNames().stream()
-                    .filter(name -> !name.equals(leader))
-                    .findFirst()
-                    .orElseThrow();
+            String follower = fleet.follower();
             fleet.program(follower).kill();
             fleet.program("e2").kill();
             Await.pause(500);
