--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/CallerDesk.java
@@ -0,0 +1,164 @@
+package org.lovagegrade.graph.leader;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.lovagegrade.graph.machine.FleetDocument;
+import org.lovagegrade.graph.machine.GraphMachine;
+import org.lovagegrade.graph.machine.JobRecord;
+import org.lovagegrade.kernel.logging.Log;
+import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.wire.proto.CallerActionProto;
+import org.lovagegrade.wire.proto.CallerOutcomeProto;
+import org.lovagegrade.wire.proto.CallerReplyProto;
+import org.lovagegrade.wire.proto.CallerRequestProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphProto;
+import org.lovagegrade.wire.proto.GraphReplyProto;
+import org.lovagegrade.wire.proto.GraphStateProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
+
+/** Answers callers on the leader: each answer follows from the committed state, each change is committed first. */
+final class CallerDesk {
+    private static final String CALLER_OUTCOMES = "lovagegrade_caller_outcomes";
+
+    private final GraphMachine machine;
+    private final CommandsForCallers commands;
+    private final Metrics metrics;
+
+    /** Proposes commands for callers. */
+    @FunctionalInterface
+    interface CommandsForCallers {
+        /**
+         * Proposes a command.
+         *
+         * @param command the command, without its time
+         * @param reply takes the answer once it is committed
+         */
+        void propose(GraphCommandProto.Builder command, Consumer<GraphReplyProto> reply);
+    }
+
+    /** What a request is about, after its queue and key were found good. */
+    private record Matter(QueueProto queue, String workspace, String id) {}
+
+    CallerDesk(GraphMachine machine, CommandsForCallers commands, Metrics metrics) {
+        this.machine = machine;
+        this.commands = commands;
+        this.metrics = metrics.declare(CALLER_OUTCOMES, CallerOutcomeProto.class);
+    }
+
+    void handle(CallerRequestProto request, Consumer<GraphReplyProto> reply) {
+        Optional<FleetDocument> document = machine.document();
+        if (document.isEmpty()) {
+            refuse(request, CallerOutcomeProto.CALLER_NO_DOCUMENT, "no desired state yet", reply);
+            return;
+        }
+        Optional<QueueProto> queue = document.get().queueFor(request.getHost(), request.getPath());
+        if (queue.isEmpty()) {
+            refuse(request, CallerOutcomeProto.CALLER_NO_QUEUE, "no queue has this host and path", reply);
+            return;
+        }
+        Optional<WorkspaceProto> workspace = document.get().workspaceOfKey(request.getKey());
+        if (workspace.isEmpty() && !queue.get().getOpenToAll()) {
+            refuse(request, CallerOutcomeProto.CALLER_UNKNOWN_KEY, "no workspace has this key", reply);
+            return;
+        }
+        String id = request.getPath().substring(queue.get().getPathPrefix().length());
+        act(
+                request,
+                new Matter(queue.get(), workspace.map(WorkspaceProto::getName).orElse(""), id),
+                reply);
+    }
+
+    private void act(CallerRequestProto request, Matter matter, Consumer<GraphReplyProto> reply) {
+        CallerActionProto action = request.getAction();
+        if (action == CallerActionProto.SHOW_GRAPH && matter.id().isEmpty()) {
+            reply.accept(pending(matter.queue()));
+            return;
+        }
+        switch (action) {
+            case SUBMIT_GRAPH -> submit(request.getGraph(), matter, reply);
+            case SHOW_GRAPH -> show(request, matter, reply);
+            case CANCEL_GRAPH -> cancel(request, matter, reply);
+            default -> refuse(request, CallerOutcomeProto.CALLER_INVALID, "unknown action", reply);
+        }
+    }
+
+    private void submit(GraphProto sent, Matter matter, Consumer<GraphReplyProto> reply) {
+        if (machine.job(matter.id()).isPresent()) {
+            reply.accept(ok());
+            return;
+        }
+        GraphProto graph = sent.toBuilder()
+                .setId(matter.id())
+                .setQueue(matter.queue().getName())
+                .setWorkspace(matter.workspace())
+                .build();
+        commands.propose(GraphCommandProto.newBuilder().setSubmit(graph), reply);
+    }
+
+    private void show(CallerRequestProto request, Matter matter, Consumer<GraphReplyProto> reply) {
+        Optional<JobRecord> job = jobIn(matter);
+        if (job.isEmpty()) {
+            refuse(request, CallerOutcomeProto.CALLER_GONE, "no such job in this queue", reply);
+            return;
+        }
+        reply.accept(GraphReplyProto.newBuilder()
+                .setCaller(CallerReplyProto.newBuilder().setState(job.get().state()))
+                .build());
+    }
+
+    private void cancel(CallerRequestProto request, Matter matter, Consumer<GraphReplyProto> reply) {
+        if (jobIn(matter).isEmpty()) {
+            refuse(request, CallerOutcomeProto.CALLER_GONE, "no such job in this queue", reply);
+            return;
+        }
+        commands.propose(GraphCommandProto.newBuilder().setCancel(matter.id()), reply);
+    }
+
+    private Optional<JobRecord> jobIn(Matter matter) {
+        return machine.job(matter.id())
+                .filter(job -> job.graph().getQueue().equals(matter.queue().getName()));
+    }
+
+    private GraphReplyProto pending(QueueProto queue) {
+        long pending = machine.active().stream()
+                .filter(job -> job.state() == GraphStateProto.GRAPH_QUEUED)
+                .filter(job -> job.graph().getQueue().equals(queue.getName()))
+                .count();
+        return GraphReplyProto.newBuilder()
+                .setCaller(CallerReplyProto.newBuilder().setPending(pending))
+                .build();
+    }
+
+    private void refuse(
+            CallerRequestProto request, CallerOutcomeProto outcome, String reason, Consumer<GraphReplyProto> reply) {
+        metrics.count(CALLER_OUTCOMES, outcome);
+        Log.event("callerRefused")
+                .with("action", request.getAction().name())
+                .with("path", request.getPath())
+                .with("outcome", outcome.name())
+                .with("reason", reason)
+                .with(
+                        "documentVersion",
+                        machine.document()
+                                .map(document -> document.proto().getVersion())
+                                .orElse(0L))
+                .info();
+        reply.accept(GraphReplyProto.newBuilder()
+                .setCaller(CallerReplyProto.newBuilder().setOutcome(outcome).setReason(reason))
+                .build());
+    }
+
+    private static GraphReplyProto ok() {
+        return GraphReplyProto.newBuilder()
+                .setCaller(CallerReplyProto.getDefaultInstance())
+                .build();
+    }
+
+    /** A document's text as it was sent, or an empty one. */
+    ByteString source() {
+        return machine.document().map(document -> document.proto().getSource()).orElse(ByteString.EMPTY);
+    }
+}
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -0,0 +1,187 @@
+package org.lovagegrade.graph.leader;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.lovagegrade.graph.machine.GraphMachine;
+import org.lovagegrade.graph.machine.MachineListener;
+import org.lovagegrade.graph.worker.WorkerLink;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.state.consensus.ReplicaId;
+import org.lovagegrade.state.replica.Leadership;
+import org.lovagegrade.state.replica.ReplicatedApplication;
+import org.lovagegrade.wire.proto.DocumentReplyProto;
+import org.lovagegrade.wire.proto.EnvelopeProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphReplyProto;
+import org.lovagegrade.wire.proto.GraphRequestProto;
+import org.lovagegrade.wire.proto.GraphStatusProto;
+import org.lovagegrade.wire.proto.LogEntryProto;
+
+/** Job graphs, replicated; the leader plans their tasks and drives the workers. */
+public final class GraphApplication implements ReplicatedApplication {
+    private final GraphMachine machine;
+    private final WorkerLink link;
+    private final LeaderTimings timings;
+    private final Clock clock;
+    private final Clock wallClock;
+    private final Metrics metrics;
+    private Leadership leadership;
+    private GraphLeader leader;
+    private CallerDesk desk;
+
+    /**
+     * Creates an empty fleet.
+     *
+     * @param link carries orders to workers
+     * @param timings the deployment's times
+     * @param keepEndedMs how long the state of an ended job can be asked for, in milliseconds
+     * @param clock a monotonic clock
+     * @param wallClock the time of day
+     * @param metrics counts refusals
+     */
+    public GraphApplication(
+            WorkerLink link, LeaderTimings timings, long keepEndedMs, Clock clock, Clock wallClock, Metrics metrics) {
+        this.machine = GraphMachine.keepingEndedFor(keepEndedMs);
+        this.link = link;
+        this.timings = timings;
+        this.clock = clock;
+        this.wallClock = wallClock;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void restore(ByteString snapshot) {
+        machine.restore(snapshot);
+    }
+
+    @Override
+    public ByteString snapshot() {
+        return machine.snapshot();
+    }
+
+    @Override
+    public EnvelopeProto apply(LogEntryProto entry, long _nowMs) {
+        return envelope(machine.apply(parse(entry)).toBuilder());
+    }
+
+    @Override
+    public EnvelopeProto outcomeUnknown() {
+        return envelope(GraphReplyProto.newBuilder().setStatus(GraphStatusProto.GRAPH_OUTCOME_UNKNOWN));
+    }
+
+    @Override
+    public void lead(Leadership fresh, long nowMs) {
+        leadership = fresh;
+        WorkerDriver driver = new WorkerDriver(
+                new WorkerDriver.Parts(link, fresh::execute, this::proposeOwn, timings, clock, metrics),
+                fresh.term(),
+                nowMs);
+        leader = new GraphLeader(machine, driver, this::proposeOwn, clock, wallClock);
+        desk = new CallerDesk(machine, this::proposeFor, metrics);
+        machine.listen(leader);
+    }
+
+    @Override
+    public void follow() {
+        machine.listen(MachineListener.NONE);
+        leader.close();
+        leader = null;
+        desk = null;
+    }
+
+    @Override
+    public void tick(long nowMs) {
+        leader.tick(nowMs);
+    }
+
+    @Override
+    public boolean handle(EnvelopeProto request, Consumer<EnvelopeProto> reply, long _nowMs) {
+        if (!request.hasGraphRequest()) {
+            return false;
+        }
+        Consumer<GraphReplyProto> answer = body -> reply.accept(envelope(body.toBuilder()));
+        GraphRequestProto asked = request.getGraphRequest();
+        switch (asked.getBodyCase()) {
+            case CALLER -> desk.handle(asked.getCaller(), answer);
+            case CONFIGURE -> proposeFor(GraphCommandProto.newBuilder().setConfigure(asked.getConfigure()), answer);
+            case READ_DOCUMENT ->
+                proposeFor(
+                        GraphCommandProto.newBuilder().setBarrier(true),
+                        barrier -> answer.accept(
+                                barrier.getStatus() == GraphStatusProto.GRAPH_OK ? documentReply() : barrier));
+            case WORKER ->
+                leader.worker(
+                        asked.getWorker(),
+                        () -> answer.accept(GraphReplyProto.getDefaultInstance()),
+                        command -> proposeFor(command, answer));
+            case WORKER_LEAVES ->
+                leader.workerLeaves(asked.getWorkerLeaves(), () -> answer.accept(GraphReplyProto.getDefaultInstance()));
+            case ADVICE ->
+                leader.advicePoll(
+                        asked.getAdvice(),
+                        questions -> answer.accept(GraphReplyProto.newBuilder()
+                                .addAllQuestions(questions)
+                                .build()));
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public Optional<EnvelopeProto> notLeader(EnvelopeProto.BodyCase _request, String leaderId) {
+        return Optional.of(EnvelopeProto.newBuilder()
+                .setGraphReply(GraphReplyProto.newBuilder()
+                        .setStatus(GraphStatusProto.GRAPH_NOT_LEADER)
+                        .setLeader(
+                                leaderId.isEmpty()
+                                        ? ""
+                                        : ReplicaId.parse(leaderId).name()))
+                .build());
+    }
+
+    private GraphReplyProto documentReply() {
+        return GraphReplyProto.newBuilder()
+                .setDocument(DocumentReplyProto.newBuilder()
+                        .setAccepted(machine.document().isPresent())
+                        .setSource(desk == null ? ByteString.EMPTY : desk.source()))
+                .build();
+    }
+
+    private void proposeOwn(GraphCommandProto.Builder command) {
+        leadership.propose(stamped(command));
+    }
+
+    private void proposeFor(GraphCommandProto.Builder command, Consumer<GraphReplyProto> reply) {
+        leadership.propose(stamped(command), envelope -> reply.accept(envelope.getGraphReply()));
+    }
+
+    private ByteString stamped(GraphCommandProto.Builder command) {
+        return command.setAtMs(wallClock.nowMs()).build().toByteString();
+    }
+
+    private EnvelopeProto envelope(GraphReplyProto.Builder reply) {
+        machine.document()
+                .ifPresent(document -> reply.setDocumentVersion(document.proto().getVersion()));
+        if (leadership != null && leader != null) {
+            reply.setLeader(ReplicaId.parse(leadership.leader()).name());
+            List<String> voters = leadership.membership().getVotersList();
+            voters.forEach(voter -> reply.addReplicas(ReplicaId.parse(voter).name()));
+        }
+        return EnvelopeProto.newBuilder().setGraphReply(reply).build();
+    }
+
+    private static GraphCommandProto parse(LogEntryProto entry) {
+        try {
+            return GraphCommandProto.parseFrom(entry.getCommand());
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException(
+                    "expected: a command in entry " + entry.getIndex() + "\n  actual: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -0,0 +1,364 @@
+package org.lovagegrade.graph.leader;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.lovagegrade.graph.advice.AdviceBoard;
+import org.lovagegrade.graph.advice.Verdict;
+import org.lovagegrade.graph.machine.GraphMachine;
+import org.lovagegrade.graph.machine.JobRecord;
+import org.lovagegrade.graph.machine.MachineListener;
+import org.lovagegrade.graph.machine.Room;
+import org.lovagegrade.graph.machine.RunKey;
+import org.lovagegrade.graph.machine.RunRecord;
+import org.lovagegrade.graph.machine.StepRecord;
+import org.lovagegrade.graph.machine.WorkerRecord;
+import org.lovagegrade.graph.planning.AdviceWish;
+import org.lovagegrade.graph.planning.Placement;
+import org.lovagegrade.graph.planning.Plan;
+import org.lovagegrade.graph.planning.Planner;
+import org.lovagegrade.graph.planning.QuotaBook;
+import org.lovagegrade.graph.planning.StepDemand;
+import org.lovagegrade.graph.planning.TicketBook;
+import org.lovagegrade.graph.planning.WorkerSlot;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.logging.Log;
+import org.lovagegrade.wire.proto.AdvicePollProto;
+import org.lovagegrade.wire.proto.AdviceQuestionProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.StartProto;
+import org.lovagegrade.wire.proto.StartsProto;
+import org.lovagegrade.wire.proto.WorkerGoneProto;
+import org.lovagegrade.wire.proto.WorkerProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
+
+/** What a leader does for one term: it plans starts, drives the workers and asks for advice. */
+final class GraphLeader implements MachineListener {
+    /** The pause between two plans, so that what comes together is planned together. */
+    private static final long PLAN_INTERVAL_MS = 4;
+    /** A plan is made at least this often, for tasks that become due and tickets that run out. */
+    private static final long IDLE_PLAN_INTERVAL_MS = 200;
+
+    private final GraphMachine machine;
+    private final WorkerDriver driver;
+    private final Proposals proposals;
+    private final Clock clock;
+    private final Clock wallClock;
+    private final AdviceBoard advice = new AdviceBoard();
+    private final Map<RunKey, Placement> planned = new HashMap<>();
+    private boolean dirty = true;
+    private long nextPlanMs;
+    private long idlePlanMs;
+
+    GraphLeader(GraphMachine machine, WorkerDriver driver, Proposals proposals, Clock clock, Clock wallClock) {
+        this.machine = machine;
+        this.driver = driver;
+        this.proposals = proposals;
+        this.clock = clock;
+        this.wallClock = wallClock;
+        long nowMs = clock.nowMs();
+        machine.workers().values().forEach(worker -> driver.workerChanged(worker, nowMs));
+    }
+
+    void close() {
+        driver.close();
+    }
+
+    void tick(long nowMs) {
+        driver.tick(nowMs);
+        advice.tick(nowMs);
+        boolean isDue = (dirty && nowMs >= nextPlanMs) || nowMs >= idlePlanMs;
+        if (isDue) {
+            plan(nowMs);
+        }
+    }
+
+    // --- requests
+
+    void worker(WorkerProto said, Runnable known, Consumer<GraphCommandProto.Builder> propose) {
+        long nowMs = clock.nowMs();
+        WorkerRecord present = machine.workers().get(said.getId());
+        if (present == null || present.info().getBornMs() < said.getBornMs()) {
+            boolean isOld = present == null && isOlderThanHolder(said);
+            if (isOld) {
+                known.run();
+            } else {
+                propose.accept(GraphCommandProto.newBuilder().setWorker(said));
+            }
+            return;
+        }
+        boolean isStale =
+                present.info().getBornMs() > said.getBornMs() || present.info().getSequence() > said.getSequence();
+        driver.session(said.getId()).ifPresent(session -> session.beatAtMs = nowMs);
+        if (isStale || isUnchanged(present.info(), said)) {
+            known.run();
+        } else {
+            propose.accept(GraphCommandProto.newBuilder().setWorker(said));
+        }
+    }
+
+    /** A heartbeat that was held up may come after a later life has taken its address. */
+    private boolean isOlderThanHolder(WorkerProto said) {
+        return said.getBornMs() != 0
+                && machine.workers().values().stream()
+                        .anyMatch(worker -> worker.info().getAddress().equals(said.getAddress())
+                                && worker.info().getBornMs() > said.getBornMs());
+    }
+
+    private static boolean isUnchanged(WorkerProto present, WorkerProto said) {
+        return present.toBuilder()
+                .setSequence(0)
+                .build()
+                .equals(said.toBuilder().setSequence(0).build());
+    }
+
+    void workerLeaves(String worker, Runnable known) {
+        Optional<WorkerSession> session = driver.session(worker);
+        if (session.isPresent()) {
+            session.get().leaving = true;
+            if (session.get().record.runs().isEmpty()) {
+                proposals.propose(GraphCommandProto.newBuilder()
+                        .setWorkerGone(WorkerGoneProto.newBuilder()
+                                .setWorker(worker)
+                                .setBornMs(session.get().info().getBornMs())));
+            }
+        }
+        known.run();
+    }
+
+    void advicePoll(AdvicePollProto poll, Consumer<List<AdviceQuestionProto>> reply) {
+        dirty |= advice.offer(poll.getCaller(), poll.getResultsList(), reply, clock.nowMs());
+    }
+
+    // --- what the log says
+
+    @Override
+    public void started(RunRecord run) {
+        planned.remove(run.key());
+        long nowMs = clock.nowMs();
+        String step = run.step().name();
+        driver.started(run, advice.ticket(step, run.worker()), nowMs);
+        dirty = true;
+    }
+
+    @Override
+    public void startDropped(RunKey key) {
+        planned.remove(key);
+        dirty = true;
+    }
+
+    @Override
+    public void ended(RunRecord run, RunEndProto how) {
+        driver.ended(run);
+        dirty = true;
+        if (how == RunEndProto.RUN_REFUSED) {
+            advice.refused(run.step().name(), run.worker());
+        }
+        boolean isGangMemberLost = run.step().spec().getGang() && how != RunEndProto.RUN_DONE;
+        if (isGangMemberLost) {
+            stopOtherMembers(run);
+        }
+    }
+
+    /** A gang that has lost a member can't complete; its other members need not wait for it. */
+    private void stopOtherMembers(RunRecord lost) {
+        long nowMs = clock.nowMs();
+        for (RunRecord run : List.copyOf(machine.runs().values())) {
+            if (run.step() == lost.step() && run.key().run() == lost.key().run()) {
+                driver.unwanted(run, nowMs);
+            }
+        }
+    }
+
+    @Override
+    public void unwanted(RunRecord run) {
+        driver.unwanted(run, clock.nowMs());
+    }
+
+    @Override
+    public void accepted(JobRecord job) {
+        dirty = true;
+        Log.event("jobAccepted")
+                .with("job", job.id())
+                .with("queue", job.graph().getQueue())
+                .with("workspace", job.graph().getWorkspace())
+                .with("steps", job.graph().getStepsCount())
+                .info();
+    }
+
+    @Override
+    public void over(JobRecord job) {
+        dirty = true;
+        job.occurrences().forEach(steps -> steps.forEach(step -> advice.forgetStep(step.name())));
+        Log.event("jobOver")
+                .with("job", job.id())
+                .with("state", job.state().name())
+                .with("tookMs", wallClock.nowMs() - job.acceptedAtMs())
+                .info();
+    }
+
+    @Override
+    public void workerChanged(WorkerRecord worker) {
+        dirty = true;
+        driver.workerChanged(worker, clock.nowMs());
+    }
+
+    @Override
+    public void workerGone(WorkerRecord worker) {
+        dirty = true;
+        driver.workerGone(worker);
+        advice.forgetWorker(worker.info().getId());
+    }
+
+    @Override
+    public void documentChanged() {
+        dirty = true;
+        machine.document()
+                .ifPresent(document -> Log.event("documentInForce")
+                        .with("version", document.proto().getVersion())
+                        .with("queues", document.proto().getQueuesCount())
+                        .info());
+    }
+
+    // --- planning
+
+    private void plan(long nowMs) {
+        dirty = false;
+        nextPlanMs = nowMs + PLAN_INTERVAL_MS;
+        idlePlanMs = nowMs + IDLE_PLAN_INTERVAL_MS;
+        List<StepDemand> demands = demands();
+        if (demands.isEmpty()) {
+            return;
+        }
+        Plan plan = new Planner(slots(nowMs), tickets(nowMs), quotas()).plan(demands);
+        for (AdviceWish wish : plan.wishes()) {
+            advice.want(wish.step(), wish.workers(), wish.priority(), wish.costMs(), nowMs);
+        }
+        if (!plan.placements().isEmpty()) {
+            propose(plan.placements());
+        }
+    }
+
+    private void propose(List<Placement> placements) {
+        StartsProto.Builder starts = StartsProto.newBuilder();
+        for (Placement placement : placements) {
+            RunKey key = new RunKey(placement.step().key(placement.index()), placement.run());
+            planned.put(key, placement);
+            starts.addStarts(StartProto.newBuilder()
+                    .setTask(key.task().toProto())
+                    .setRun(key.run())
+                    .setWorker(placement.worker().getId())
+                    .setBornMs(placement.worker().getBornMs())
+                    .setCheckpoint(
+                            placement.step().tasks().get(placement.index()).checkpoint()));
+        }
+        proposals.propose(GraphCommandProto.newBuilder().setStart(starts));
+    }
+
+    private List<StepDemand> demands() {
+        long wallMs = wallClock.nowMs();
+        List<StepDemand> demands = new ArrayList<>();
+        for (JobRecord job : machine.active()) {
+            Optional<QueueProto> queue = machine.queue(job.graph().getQueue());
+            if (queue.isEmpty()) {
+                continue;
+            }
+            for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+                long dueAtMs = job.dueAtMs(occurrence);
+                if (dueAtMs <= wallMs || job.graph().getOccurrences() == 0) {
+                    for (StepRecord step : job.occurrences().get(occurrence)) {
+                        demandOf(step, queue.get(), dueAtMs).ifPresent(demands::add);
+                    }
+                }
+            }
+        }
+        demands.sort(
+                Comparator.<StepDemand>comparingInt(demand -> demand.queue().getPriority())
+                        .thenComparingLong(StepDemand::sinceMs));
+        return demands;
+    }
+
+    private Optional<StepDemand> demandOf(StepRecord step, QueueProto queue, long dueAtMs) {
+        if (step.isDone() || step.waiting() == 0 || !step.isReady()) {
+            return Optional.empty();
+        }
+        List<Integer> waiting = new ArrayList<>();
+        for (int index = 0; index < step.tasks().size(); index++) {
+            boolean isPlanned = planned.containsKey(new RunKey(step.key(index), nextRun(step, index)));
+            if (step.tasks().get(index).waits() && !isPlanned) {
+                waiting.add(index);
+            }
+        }
+        return waiting.isEmpty() ? Optional.empty() : Optional.of(new StepDemand(step, queue, waiting, dueAtMs));
+    }
+
+    private static int nextRun(StepRecord step, int index) {
+        return step.spec().getGang()
+                ? step.nextGangRun()
+                : step.tasks().get(index).run() + 1;
+    }
+
+    private List<WorkerSlot> slots(long nowMs) {
+        Map<String, WorkerSlot> slots = new HashMap<>();
+        List<WorkerSlot> usable = new ArrayList<>();
+        for (WorkerSession session : driver.sessions()) {
+            if (session.isUsable(nowMs)) {
+                Room capacity = Room.of(session.info().getCapacity());
+                WorkerSlot slot = new WorkerSlot(session.info(), capacity.minus(session.record.used()));
+                for (RunRecord run : session.record.runs().values()) {
+                    if (run.step().spec().getMostPerWorker() > 0) {
+                        slot.count(run.step().name(), 1);
+                    }
+                }
+                slots.put(session.id(), slot);
+                usable.add(slot);
+            }
+        }
+        for (Placement placement : planned.values()) {
+            WorkerSlot slot = slots.get(placement.worker().getId());
+            if (slot != null) {
+                slot.occupy(placement.step());
+            }
+        }
+        return usable;
+    }
+
+    private TicketBook tickets(long nowMs) {
+        return new TicketBook() {
+            @Override
+            public Verdict verdict(String step, String worker) {
+                return advice.verdict(step, worker, nowMs);
+            }
+
+            @Override
+            public boolean isAsking(String step) {
+                return advice.isAsking(step);
+            }
+        };
+    }
+
+    private QuotaBook quotas() {
+        QuotaBook quotas = new QuotaBook();
+        Map<String, Room> beingStarted = new HashMap<>();
+        for (Placement placement : planned.values()) {
+            beingStarted.merge(
+                    placement.step().job().graph().getWorkspace(),
+                    placement.step().perTask(),
+                    Room::plus);
+        }
+        machine.document().ifPresent(document -> {
+            for (WorkspaceProto workspace : document.proto().getWorkspacesList()) {
+                String name = workspace.getName();
+                Room running = machine.usedBy(name).plus(beingStarted.getOrDefault(name, Room.NONE));
+                quotas.add(name, Room.of(workspace.getLimit()), running);
+            }
+        });
+        return quotas;
+    }
+}
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -0,0 +1,65 @@
+package org.lovagegrade.graph.leader;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.lovagegrade.graph.machine.RunKey;
+import org.lovagegrade.graph.machine.WorkerRecord;
+import org.lovagegrade.wire.proto.WorkerProto;
+
+/** One life of a worker as the leader drives it. */
+final class WorkerSession {
+    /** A worker that answered nothing for this long gets no starts. */
+    private static final long SILENT_MS = 3_000;
+
+    final WorkerRecord record;
+    final WorkerClock clock = new WorkerClock();
+    final Map<RunKey, RunOrder> orders = new HashMap<>();
+    /** Runs given up while their start might still arrive; stopped before the worker is used again. */
+    final Set<RunKey> tombstones = new HashSet<>();
+
+    boolean introduced;
+    boolean lapsed;
+    boolean leaving;
+    boolean renewing;
+    boolean unanswered;
+    boolean goneProposed;
+    long nextRenewMs;
+    long heardAtMs;
+    long beatAtMs;
+    long proposedCursor;
+    long unwellUntilMs;
+
+    WorkerSession(WorkerRecord record, long nowMs) {
+        this.record = record;
+        this.heardAtMs = nowMs;
+        this.beatAtMs = nowMs;
+        this.proposedCursor = record.cursor();
+    }
+
+    WorkerProto info() {
+        return record.info();
+    }
+
+    String id() {
+        return record.info().getId();
+    }
+
+    void answered(long nowMs) {
+        heardAtMs = nowMs;
+        unanswered = false;
+    }
+
+    /** Whether new runs may be ordered here. */
+    boolean isUsable(long nowMs) {
+        return introduced
+                && !lapsed
+                && !leaving
+                && !goneProposed
+                && !unanswered
+                && !info().getDraining()
+                && unwellUntilMs <= nowMs
+                && nowMs - heardAtMs < SILENT_MS;
+    }
+}
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/FleetDocument.java
@@ -0,0 +1,82 @@
+package org.lovagegrade.graph.machine;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
+
+/** The desired state of one version, with its lookups. */
+public final class FleetDocument {
+    private final FleetDocumentProto proto;
+    private final Map<String, WorkspaceProto> byKey = new HashMap<>();
+    private final Map<String, WorkspaceProto> byName = new HashMap<>();
+
+    private FleetDocument(FleetDocumentProto proto) {
+        this.proto = proto;
+        for (WorkspaceProto workspace : proto.getWorkspacesList()) {
+            byName.put(workspace.getName(), workspace);
+            workspace.getKeysList().forEach(key -> byKey.put(key, workspace));
+        }
+    }
+
+    /**
+     * Wraps a version.
+     *
+     * @param proto the message
+     * @return the document
+     */
+    public static FleetDocument of(FleetDocumentProto proto) {
+        return new FleetDocument(proto);
+    }
+
+    /**
+     * The message.
+     *
+     * @return the whole document
+     */
+    public FleetDocumentProto proto() {
+        return proto;
+    }
+
+    /**
+     * Finds the workspace of a key.
+     *
+     * @param key the key
+     * @return the workspace, or empty for an unknown key
+     */
+    public Optional<WorkspaceProto> workspaceOfKey(String key) {
+        return Optional.ofNullable(byKey.get(key));
+    }
+
+    /**
+     * Finds a workspace.
+     *
+     * @param name its name
+     * @return the workspace, or empty
+     */
+    public Optional<WorkspaceProto> workspace(String name) {
+        return Optional.ofNullable(byName.get(name));
+    }
+
+    /**
+     * Finds the queue for a path.
+     *
+     * @param host the host that the caller asked for
+     * @param path the path that the caller asked for
+     * @return the queue with the longest prefix that the path begins with, or empty
+     */
+    public Optional<QueueProto> queueFor(String host, String path) {
+        QueueProto found = null;
+        for (QueueProto queue : proto.getQueuesList()) {
+            boolean matches = queue.getHost().equalsIgnoreCase(host) && path.startsWith(queue.getPathPrefix());
+            boolean isLonger = found == null
+                    || queue.getPathPrefix().length() > found.getPathPrefix().length();
+            if (matches && isLonger) {
+                found = queue;
+            }
+        }
+        return Optional.ofNullable(found);
+    }
+}
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphMachine.java
@@ -0,0 +1,549 @@
+package org.lovagegrade.graph.machine;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.lovagegrade.wire.proto.CallerOutcomeProto;
+import org.lovagegrade.wire.proto.CallerReplyProto;
+import org.lovagegrade.wire.proto.DocumentReplyProto;
+import org.lovagegrade.wire.proto.EndProto;
+import org.lovagegrade.wire.proto.EndsProto;
+import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphJobProto;
+import org.lovagegrade.wire.proto.GraphProto;
+import org.lovagegrade.wire.proto.GraphReplyProto;
+import org.lovagegrade.wire.proto.GraphSnapshotProto;
+import org.lovagegrade.wire.proto.GraphStateProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.StartProto;
+import org.lovagegrade.wire.proto.StartsProto;
+import org.lovagegrade.wire.proto.TaskStateGraphProto;
+import org.lovagegrade.wire.proto.WorkerCursorProto;
+import org.lovagegrade.wire.proto.WorkerGoneProto;
+import org.lovagegrade.wire.proto.WorkerProto;
+
+/**
+ * The replicated state: the desired state, jobs with their tasks, runs, and workers. The same commands in the same order
+ * give the same state on every replica.
+ *
+ * <p>Example: {@code GraphReplyProto reply = machine.apply(command);}
+ */
+public final class GraphMachine {
+    private static final int DEFAULT_MAX_ATTEMPTS = 1;
+
+    private final Map<String, JobRecord> jobs = new LinkedHashMap<>();
+    private final Map<String, JobRecord> active = new LinkedHashMap<>();
+    private final Deque<JobRecord> ended = new ArrayDeque<>();
+    private final Map<RunKey, RunRecord> runs = new LinkedHashMap<>();
+    private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
+    private final Map<String, QueueProto> knownQueues = new TreeMap<>();
+    private final Map<String, Room> usedByWorkspace = new TreeMap<>();
+    private final long keepEndedMs;
+    private FleetDocument document;
+    private MachineListener listener = MachineListener.NONE;
+    private long clockMs;
+
+    private GraphMachine(long keepEndedMs) {
+        this.keepEndedMs = keepEndedMs;
+    }
+
+    /**
+     * Creates a machine without a desired state.
+     *
+     * @param keepEndedMs how long the state of an ended job can be asked for, in milliseconds
+     * @return the machine
+     */
+    public static GraphMachine keepingEndedFor(long keepEndedMs) {
+        return new GraphMachine(keepEndedMs);
+    }
+
+    /**
+     * Sets who hears what is applied.
+     *
+     * @param heard the listener
+     */
+    public void listen(MachineListener heard) {
+        listener = heard;
+    }
+
+    /**
+     * The desired state in force.
+     *
+     * @return the document, or empty before the first
+     */
+    public Optional<FleetDocument> document() {
+        return Optional.ofNullable(document);
+    }
+
+    /**
+     * Finds a job.
+     *
+     * @param id its id
+     * @return the job, or empty if there is none or it ended long ago
+     */
+    public Optional<JobRecord> job(String id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    /**
+     * The jobs that are not over, in the order of their acceptance.
+     *
+     * @return the jobs
+     */
+    public Collection<JobRecord> active() {
+        return Collections.unmodifiableCollection(active.values());
+    }
+
+    /**
+     * The workers that were not given up.
+     *
+     * @return the workers by their ids
+     */
+    public Map<String, WorkerRecord> workers() {
+        return Collections.unmodifiableMap(workers);
+    }
+
+    /**
+     * The runs whose end is not committed.
+     *
+     * @return the runs by their keys
+     */
+    public Map<RunKey, RunRecord> runs() {
+        return Collections.unmodifiableMap(runs);
+    }
+
+    /**
+     * What a workspace has running.
+     *
+     * @param workspace its name
+     * @return the sum over all runs whose end is not committed
+     */
+    public Room usedBy(String workspace) {
+        return usedByWorkspace.getOrDefault(workspace, Room.NONE);
+    }
+
+    /**
+     * Finds a queue, also one that the desired state no longer holds.
+     *
+     * @param name its name
+     * @return the queue as last seen, or empty if no version held it
+     */
+    public Optional<QueueProto> queue(String name) {
+        return Optional.ofNullable(knownQueues.get(name));
+    }
+
+    /**
+     * Applies a command.
+     *
+     * @param command the command
+     * @return the answer for whoever proposed it
+     */
+    public GraphReplyProto apply(GraphCommandProto command) {
+        clockMs = Math.max(clockMs, command.getAtMs());
+        forgetOld();
+        switch (command.getBodyCase()) {
+            case CONFIGURE -> {
+                return configure(command.getConfigure());
+            }
+            case SUBMIT -> {
+                return submit(command.getSubmit());
+            }
+            case CANCEL -> {
+                return cancel(command.getCancel());
+            }
+            case START -> start(command.getStart());
+            case END -> end(command.getEnd());
+            case WORKER -> worker(command.getWorker());
+            case WORKER_GONE -> workerGone(command.getWorkerGone());
+            default -> {}
+        }
+        return GraphReplyProto.getDefaultInstance();
+    }
+
+    // --- desired state
+
+    private GraphReplyProto configure(FleetDocumentProto sent) {
+        long present = document == null ? Long.MIN_VALUE : document.proto().getVersion();
+        if (sent.getVersion() == present
+                && !sent.getSource().equals(document.proto().getSource())) {
+            return documentReply(false, "version " + present + " is in force with other content");
+        }
+        if (sent.getVersion() > present) {
+            install(FleetDocument.of(sent));
+            listener.documentChanged();
+        }
+        return documentReply(true, "");
+    }
+
+    private void install(FleetDocument fresh) {
+        document = fresh;
+        fresh.proto().getQueuesList().forEach(queue -> knownQueues.put(queue.getName(), queue));
+    }
+
+    private GraphReplyProto documentReply(boolean accepted, String reason) {
+        return GraphReplyProto.newBuilder()
+                .setDocument(DocumentReplyProto.newBuilder()
+                        .setAccepted(accepted)
+                        .setReason(reason)
+                        .setVersion(document.proto().getVersion()))
+                .build();
+    }
+
+    // --- jobs
+
+    private GraphReplyProto submit(GraphProto graph) {
+        if (!jobs.containsKey(graph.getId())) {
+            JobRecord job = new JobRecord(graph, clockMs);
+            jobs.put(job.id(), job);
+            active.put(job.id(), job);
+            listener.accepted(job);
+        }
+        return callerReply(CallerOutcomeProto.CALLER_OK);
+    }
+
+    private GraphReplyProto cancel(String id) {
+        JobRecord job = jobs.get(id);
+        if (job == null) {
+            return callerReply(CallerOutcomeProto.CALLER_GONE);
+        }
+        if (!job.isOver()) {
+            finish(job, GraphStateProto.GRAPH_CANCELLED);
+        }
+        return callerReply(CallerOutcomeProto.CALLER_OK);
+    }
+
+    private void finish(JobRecord job, GraphStateProto state) {
+        job.state = state;
+        job.endedAtMs = clockMs;
+        active.remove(job.id());
+        ended.add(job);
+        listener.over(job);
+        for (RunRecord run : List.copyOf(runs.values())) {
+            if (run.step().job() == job) {
+                listener.unwanted(run);
+            }
+        }
+    }
+
+    private void forgetOld() {
+        while (!ended.isEmpty() && ended.peek().endedAtMs + keepEndedMs < clockMs) {
+            JobRecord old = ended.poll();
+            jobs.remove(old.id(), old);
+        }
+    }
+
+    private static GraphReplyProto callerReply(CallerOutcomeProto outcome) {
+        return GraphReplyProto.newBuilder()
+                .setCaller(CallerReplyProto.newBuilder().setOutcome(outcome))
+                .build();
+    }
+
+    // --- starts
+
+    private void start(StartsProto starts) {
+        for (List<StartProto> group : groupsOf(starts)) {
+            boolean isPossible = group.stream().allMatch(this::mayStart);
+            for (StartProto start : group) {
+                if (isPossible) {
+                    begin(start);
+                } else {
+                    listener.startDropped(new RunKey(TaskKey.of(start.getTask()), start.getRun()));
+                }
+            }
+        }
+    }
+
+    /** A gang's members start together or not at all; every other start stands alone. */
+    private List<List<StartProto>> groupsOf(StartsProto starts) {
+        Map<String, List<StartProto>> groups = new LinkedHashMap<>();
+        for (StartProto start : starts.getStartsList()) {
+            TaskKey key = TaskKey.of(start.getTask());
+            boolean isGang = step(key).map(found -> found.spec().getGang()).orElse(false);
+            groups.computeIfAbsent(isGang ? key.stepName() : key.toString(), _name -> new ArrayList<>())
+                    .add(start);
+        }
+        return List.copyOf(groups.values());
+    }
+
+    private boolean mayStart(StartProto start) {
+        TaskKey key = TaskKey.of(start.getTask());
+        Optional<StepRecord> step = step(key);
+        if (step.isEmpty() || step.get().job().isOver()) {
+            return false;
+        }
+        TaskRecord task = step.get().tasks().get(key.index());
+        WorkerRecord worker = workers.get(start.getWorker());
+        return task.waits()
+                && start.getRun() > task.run
+                && worker != null
+                && worker.info.getBornMs() == start.getBornMs()
+                && !worker.info.getDraining()
+                && !runs.containsKey(new RunKey(key, task.run));
+    }
+
+    private void begin(StartProto start) {
+        TaskKey key = TaskKey.of(start.getTask());
+        StepRecord step = step(key).orElseThrow();
+        TaskRecord task = step.tasks().get(key.index());
+        task.state = TaskStateGraphProto.GRAPH_TASK_RUNNING;
+        task.run = start.getRun();
+        if (step.job().state == GraphStateProto.GRAPH_QUEUED) {
+            step.job().state = GraphStateProto.GRAPH_RUNNING;
+        }
+        RunRecord run = new RunRecord(
+                new RunKey(key, start.getRun()), step, start.getWorker(), start.getBornMs(), start.getCheckpoint());
+        take(run);
+        listener.started(run);
+    }
+
+    private void take(RunRecord run) {
+        runs.put(run.key(), run);
+        workers.get(run.worker()).add(run);
+        usedByWorkspace.merge(workspaceOf(run), run.step().perTask(), Room::plus);
+    }
+
+    private void release(RunRecord run) {
+        runs.remove(run.key());
+        WorkerRecord worker = workers.get(run.worker());
+        if (worker != null) {
+            worker.remove(run);
+        }
+        usedByWorkspace.computeIfPresent(
+                workspaceOf(run), (_name, used) -> used.minus(run.step().perTask()));
+    }
+
+    private static String workspaceOf(RunRecord run) {
+        return run.step().job().graph().getWorkspace();
+    }
+
+    private Optional<StepRecord> step(TaskKey key) {
+        JobRecord job = jobs.get(key.job());
+        return job == null || !job.hasStep(key)
+                ? Optional.empty()
+                : Optional.of(job.step(key.occurrence(), key.step()));
+    }
+
+    // --- ends
+
+    private void end(EndsProto ends) {
+        WorkerRecord worker = workers.get(ends.getWorker());
+        if (worker == null || worker.info.getBornMs() != ends.getBornMs()) {
+            return;
+        }
+        worker.cursor = Math.max(worker.cursor, ends.getCursor());
+        for (EndProto end : ends.getEndsList()) {
+            RunRecord run = worker.runs().get(new RunKey(TaskKey.of(end.getTask()), end.getRun()));
+            if (run != null) {
+                endRun(run, end.getHow(), end.getCheckpoint());
+            }
+        }
+    }
+
+    private void endRun(RunRecord run, RunEndProto how, String checkpoint) {
+        boolean wasUnwanted = run.isUnwanted();
+        release(run);
+        listener.ended(run, how);
+        if (wasUnwanted) {
+            return;
+        }
+        StepRecord step = run.step();
+        TaskRecord task = step.tasks().get(run.key().task().index());
+        task.state = TaskStateGraphProto.GRAPH_TASK_WAITING;
+        keepCheckpoint(step, task, checkpoint);
+        if (how == RunEndProto.RUN_DONE && !step.spec().getLasting()) {
+            complete(step, task);
+        } else if (how == RunEndProto.RUN_FAILED) {
+            countFailure(step, task, run.key().run());
+        }
+    }
+
+    private static void keepCheckpoint(StepRecord step, TaskRecord task, String checkpoint) {
+        if (checkpoint.isEmpty()) {
+            return;
+        }
+        if (step.spec().getGang()) {
+            step.tasks().forEach(member -> member.checkpoint = checkpoint);
+        } else {
+            task.checkpoint = checkpoint;
+        }
+    }
+
+    private void complete(StepRecord step, TaskRecord task) {
+        List<TaskRecord> completed = step.spec().getGang() ? step.tasks() : List.of(task);
+        for (TaskRecord each : completed) {
+            step.done += each.isDone() ? 0 : 1;
+            each.state = TaskStateGraphProto.GRAPH_TASK_DONE;
+        }
+        if (step.job().allDone()) {
+            finish(step.job(), GraphStateProto.GRAPH_COMPLETED);
+        } else if (step.spec().getGang()) {
+            membersOf(step).forEach(listener::unwanted);
+        }
+    }
+
+    private List<RunRecord> membersOf(StepRecord step) {
+        return runs.values().stream().filter(run -> run.step() == step).toList();
+    }
+
+    private void countFailure(StepRecord step, TaskRecord task, int run) {
+        if (step.spec().getLasting()) {
+            task.failures++;
+            return;
+        }
+        int failures;
+        if (step.spec().getGang()) {
+            step.gangFailures += step.gangFailedRun == run ? 0 : 1;
+            step.gangFailedRun = run;
+            failures = step.gangFailures;
+        } else {
+            task.failures++;
+            failures = task.failures;
+        }
+        if (failures >= maxAttempts(step.job())) {
+            finish(step.job(), GraphStateProto.GRAPH_FAILED);
+        }
+    }
+
+    private int maxAttempts(JobRecord job) {
+        return queue(job.graph().getQueue())
+                .map(QueueProto::getMaxAttempts)
+                .filter(most -> most > 0)
+                .orElse(DEFAULT_MAX_ATTEMPTS);
+    }
+
+    // --- workers
+
+    private void worker(WorkerProto said) {
+        WorkerRecord present = workers.get(said.getId());
+        if (present != null && present.info.getBornMs() == said.getBornMs()) {
+            present.info = said;
+            listener.workerChanged(present);
+            return;
+        }
+        for (WorkerRecord other : List.copyOf(workers.values())) {
+            boolean isFormerLife = other == present || other.info.getAddress().equals(said.getAddress());
+            if (isFormerLife) {
+                remove(other);
+            }
+        }
+        WorkerRecord fresh = new WorkerRecord(said);
+        workers.put(said.getId(), fresh);
+        listener.workerChanged(fresh);
+    }
+
+    private void workerGone(WorkerGoneProto gone) {
+        WorkerRecord worker = workers.get(gone.getWorker());
+        if (worker != null && worker.info.getBornMs() == gone.getBornMs()) {
+            remove(worker);
+        }
+    }
+
+    private void remove(WorkerRecord worker) {
+        for (RunRecord run : List.copyOf(worker.runs().values())) {
+            endRun(run, RunEndProto.RUN_LOST, "");
+        }
+        workers.remove(worker.info.getId(), worker);
+        listener.workerGone(worker);
+    }
+
+    // --- snapshots
+
+    /**
+     * Writes the whole state down.
+     *
+     * @return a snapshot for {@link #restore(ByteString)}
+     */
+    public ByteString snapshot() {
+        GraphSnapshotProto.Builder snapshot = GraphSnapshotProto.newBuilder().setClockMs(clockMs);
+        if (document != null) {
+            snapshot.setDocument(document.proto());
+        }
+        snapshot.addAllKnownQueues(knownQueues.values());
+        ended.forEach(job -> snapshot.addJobs(job.toProto()));
+        active.values().forEach(job -> snapshot.addJobs(job.toProto()));
+        workers.values()
+                .forEach(worker -> snapshot.addWorkers(
+                        WorkerCursorProto.newBuilder().setWorker(worker.info).setCursor(worker.cursor)));
+        runs.values().forEach(run -> snapshot.addRuns(toProto(run)));
+        return snapshot.build().toByteString();
+    }
+
+    private static StartProto toProto(RunRecord run) {
+        return StartProto.newBuilder()
+                .setTask(run.key().task().toProto())
+                .setRun(run.key().run())
+                .setWorker(run.worker())
+                .setBornMs(run.bornMs())
+                .setCheckpoint(run.checkpoint())
+                .build();
+    }
+
+    /**
+     * Replaces the whole state.
+     *
+     * @param data what {@link #snapshot()} gave
+     */
+    public void restore(ByteString data) {
+        GraphSnapshotProto snapshot = parse(data);
+        jobs.clear();
+        active.clear();
+        ended.clear();
+        runs.clear();
+        workers.clear();
+        knownQueues.clear();
+        usedByWorkspace.clear();
+        clockMs = snapshot.getClockMs();
+        document = null;
+        snapshot.getKnownQueuesList().forEach(queue -> knownQueues.put(queue.getName(), queue));
+        if (snapshot.hasDocument()) {
+            install(FleetDocument.of(snapshot.getDocument()));
+        }
+        snapshot.getJobsList().forEach(this::restoreJob);
+        for (WorkerCursorProto worker : snapshot.getWorkersList()) {
+            WorkerRecord restored = new WorkerRecord(worker.getWorker());
+            restored.cursor = worker.getCursor();
+            workers.put(worker.getWorker().getId(), restored);
+        }
+        snapshot.getRunsList().forEach(this::restoreRun);
+    }
+
+    private void restoreJob(GraphJobProto proto) {
+        JobRecord job = JobRecord.restore(proto);
+        jobs.put(job.id(), job);
+        if (job.isOver()) {
+            ended.add(job);
+        } else {
+            active.put(job.id(), job);
+        }
+    }
+
+    private void restoreRun(StartProto start) {
+        TaskKey key = TaskKey.of(start.getTask());
+        step(key)
+                .ifPresent(step -> take(new RunRecord(
+                        new RunKey(key, start.getRun()),
+                        step,
+                        start.getWorker(),
+                        start.getBornMs(),
+                        start.getCheckpoint())));
+    }
+
+    private static GraphSnapshotProto parse(ByteString data) {
+        try {
+            return GraphSnapshotProto.parseFrom(data);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException("expected: a snapshot of job graphs\n  actual: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/StepRecord.java
@@ -0,0 +1,171 @@
+package org.lovagegrade.graph.machine;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.lovagegrade.wire.proto.GraphStepStateProto;
+import org.lovagegrade.wire.proto.StepProto;
+
+/** One step of one occurrence of a job. */
+public final class StepRecord {
+    private final JobRecord job;
+    private final int occurrence;
+    private final int number;
+    private final StepProto spec;
+    private final Room perTask;
+    private final List<TaskRecord> tasks = new ArrayList<>();
+    private final String name;
+    int gangFailures;
+    int gangFailedRun;
+    int done;
+
+    StepRecord(JobRecord job, int occurrence, int number, StepProto spec) {
+        this.job = job;
+        this.occurrence = occurrence;
+        this.number = number;
+        this.spec = spec;
+        this.perTask = Room.of(spec.getPerTask());
+        this.name = key(0).stepName();
+        for (int index = 0; index < spec.getCount(); index++) {
+            tasks.add(new TaskRecord());
+        }
+    }
+
+    /**
+     * The job.
+     *
+     * @return the job that this step belongs to
+     */
+    public JobRecord job() {
+        return job;
+    }
+
+    /**
+     * The number of the occurrence.
+     *
+     * @return the number, from 0
+     */
+    public int occurrence() {
+        return occurrence;
+    }
+
+    /**
+     * The number of the step within its job.
+     *
+     * @return the number, from 0
+     */
+    public int number() {
+        return number;
+    }
+
+    /**
+     * The step as it was handed in.
+     *
+     * @return the message
+     */
+    public StepProto spec() {
+        return spec;
+    }
+
+    /**
+     * What one task needs.
+     *
+     * @return the room
+     */
+    public Room perTask() {
+        return perTask;
+    }
+
+    /**
+     * The tasks in the order of their numbers.
+     *
+     * @return the tasks
+     */
+    public List<TaskRecord> tasks() {
+        return tasks;
+    }
+
+    /**
+     * The step's name within the fleet.
+     *
+     * @return job, occurrence and step, joined by dots
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Names a task of this step.
+     *
+     * @param index the number of the task
+     * @return its key
+     */
+    public TaskKey key(int index) {
+        return new TaskKey(job.id(), occurrence, number, index);
+    }
+
+    /**
+     * Whether all tasks have completed.
+     *
+     * @return true if so
+     */
+    public boolean isDone() {
+        return done == tasks.size();
+    }
+
+    /**
+     * Whether all earlier steps that this one waits for are done.
+     *
+     * @return true if its tasks may start, once its occurrence is due
+     */
+    public boolean isReady() {
+        for (int earlier : spec.getAfterList()) {
+            if (!job.step(occurrence, earlier).isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * How many tasks wait for a run.
+     *
+     * @return the number
+     */
+    public int waiting() {
+        int waiting = 0;
+        for (TaskRecord task : tasks) {
+            waiting += task.waits() ? 1 : 0;
+        }
+        return waiting;
+    }
+
+    /**
+     * The number that the next run of a gang gets.
+     *
+     * @return one more than the last run of any member
+     */
+    public int nextGangRun() {
+        int last = 0;
+        for (TaskRecord task : tasks) {
+            last = Math.max(last, task.run);
+        }
+        return last + 1;
+    }
+
+    GraphStepStateProto toProto() {
+        GraphStepStateProto.Builder proto =
+                GraphStepStateProto.newBuilder().setGangFailures(gangFailures).setGangFailedRun(gangFailedRun);
+        tasks.forEach(task -> proto.addTasks(task.toProto()));
+        return proto.build();
+    }
+
+    void restore(GraphStepStateProto proto) {
+        gangFailures = proto.getGangFailures();
+        gangFailedRun = proto.getGangFailedRun();
+        done = 0;
+        for (int index = 0; index < tasks.size(); index++) {
+            tasks.get(index).restore(proto.getTasks(index));
+            done += tasks.get(index).isDone() ? 1 : 0;
+        }
+    }
+}
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
@@ -0,0 +1,23 @@
+package org.lovagegrade.graph.planning;
+
+import java.util.List;
+import org.lovagegrade.graph.machine.StepRecord;
+import org.lovagegrade.wire.proto.QueueProto;
+
+/**
+ * A step with tasks that may start now.
+ *
+ * @param step the step
+ * @param queue its queue
+ * @param waiting the numbers of the tasks that wait and are not being started
+ * @param sinceMs since when the step's job is due, on the time of day in milliseconds
+ */
+public record StepDemand(StepRecord step, QueueProto queue, List<Integer> waiting, long sinceMs) {
+    boolean needsTicket() {
+        return queue.hasAdvice();
+    }
+
+    int priority() {
+        return queue.getPriority();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/lovagegrade/kernel/http/HttpLanes.java
@@ -0,0 +1,90 @@
+package org.lovagegrade.kernel.http;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.lovagegrade.kernel.Service;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Makes kept connections that share one network thread.
+ *
+ * <p>Example: {@code HttpLane lane = lanes.to("10.0.0.1:8080");}
+ */
+public final class HttpLanes implements Service {
+    /** The name of this service. */
+    public static final String NAME = "httpLanes";
+
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
+
+    private HttpLanes(XnioWorker worker) {
+        this.worker = worker;
+    }
+
+    /**
+     * Creates the network thread.
+     *
+     * @return the service
+     */
+    public static HttpLanes create() {
+        try {
+            return new HttpLanes(Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, 1)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.THREAD_DAEMON, true)
+                            .getMap()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Makes a lane.
+     *
+     * @param address {@code host:port}
+     * @return the lane, not yet connected
+     */
+    public HttpLane to(String address) {
+        return new HttpLane(worker.getIoThread(), buffers, address);
+    }
+
+    /**
+     * The worker behind this service, for a server that shares its thread.
+     *
+     * @return the worker
+     */
+    public XnioWorker worker() {
+        return worker;
+    }
+
+    /**
+     * Where buffers come from.
+     *
+     * @return the pool
+     */
+    public ByteBufferPool buffers() {
+        return buffers;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void stop() {
+        worker.shutdownNow();
+    }
+}
--- a/state/src/main/java/org/lovagegrade/state/StateMain.java
+++ b/state/src/main/java/org/lovagegrade/state/StateMain.java
@@ -1,7 +1,6 @@
 package org.lovagegrade.state;
 
 import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,8 +20,10 @@
 import org.lovagegrade.state.log.CorruptLogException;
 import org.lovagegrade.state.log.DiskIdentity;
 import org.lovagegrade.state.log.DurableLog;
+import org.lovagegrade.state.replica.FleetApplication;
 import org.lovagegrade.state.replica.PeerLinks;
 import org.lovagegrade.state.replica.Replica;
+import org.lovagegrade.state.replica.ReplicaIdentity;
 import org.lovagegrade.wire.Address;
 import org.lovagegrade.wire.Loops;
 import org.lovagegrade.wire.RpcServer;
@@ -86,7 +87,7 @@
     }
 
     private static Kernel kernel(StateSettings settings, DurableLog log) throws CorruptLogException {
-        ReplicaId self = identity(settings, log);
+        ReplicaId self = ReplicaIdentity.of(settings.dataFolder(), log, settings.replicaName(), List.of());
         Clock clock = Clock.monotonic();
         Metrics metrics = Metrics.create();
         RandomGenerator random = new SecureRandom();
@@ -98,8 +99,10 @@
         Map<String, Address> peers = new TreeMap<>(settings.replicas());
         peers.remove(settings.replicaName());
         Loops loops = Loops.ofThreads(NETWORK_THREADS);
-        PeerLinks links = new PeerLinks(loops, peers, clock);
-        Replica replica = new Replica(raft, log, links::send, new ArrayList<>(peers.keySet()), clock, metrics);
+        PeerLinks links = new PeerLinks(loops, name -> Optional.ofNullable(peers.get(name)), clock);
+        List<String> peerNames = List.copyOf(peers.keySet());
+        Replica replica =
+                new Replica(raft, log, links::send, () -> peerNames, new FleetApplication(metrics), clock, metrics);
         Kernel kernel = Kernel.empty()
                 .register(loops)
                 .register(links)
@@ -107,18 +110,4 @@
                 .register(replica);
         return kernel.register(new StatusServer(settings.status(), metrics, kernel));
     }
-
-    /** The identity on the disk; a disk without a log gets a new one and no vote until the others take it in. */
-    private static ReplicaId identity(StateSettings settings, DurableLog log) {
-        boolean hasNoLog = log.lastIndex() == 0 && log.hardState().getTerm() == 0;
-        Optional<ReplicaId> present = DiskIdentity.read(settings.dataFolder());
-        if (present.isPresent() && !hasNoLog) {
-            return present.get();
-        }
-        String incarnation = Long.toHexString(new SecureRandom().nextLong());
-        ReplicaId fresh = new ReplicaId(settings.replicaName(), incarnation);
-        DiskIdentity.write(settings.dataFolder(), fresh);
-        Log.event("diskWithoutLog").with("replica", fresh.toString()).warn();
-        return fresh;
-    }
 }
--- a/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
@@ -271,6 +271,15 @@
         return role == Role.LEADER;
     }
 
+    /**
+     * Whether this replica is handing its leadership over.
+     *
+     * @return true for a leader that decides nothing more until the transfer has succeeded or was given up
+     */
+    public boolean isTransferring() {
+        return role == Role.LEADER && transferring;
+    }
+
     /**
      * Whether this replica may decide: it leads, has committed in its term, and no other can have been elected.
      *
--- /dev/null
+++ b/state/src/main/java/org/lovagegrade/state/replica/FleetApplication.java
@@ -0,0 +1,149 @@
+package org.lovagegrade.state.replica;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.lovagegrade.kernel.Clock;
+import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.state.machine.Applied;
+import org.lovagegrade.state.machine.RefusalReason;
+import org.lovagegrade.state.machine.StateMachine;
+import org.lovagegrade.state.scheduling.EntryViews;
+import org.lovagegrade.state.scheduling.LeaderDuties;
+import org.lovagegrade.state.scheduling.StatusQueries;
+import org.lovagegrade.wire.proto.CommandProto;
+import org.lovagegrade.wire.proto.CommandReplyProto;
+import org.lovagegrade.wire.proto.EnvelopeProto;
+import org.lovagegrade.wire.proto.LogEntryProto;
+import org.lovagegrade.wire.proto.OutcomeProto;
+import org.lovagegrade.wire.proto.OutcomeStatusProto;
+
+/** The fleet's state with teams, classes and jobs of one step, and the scheduler that its leader runs. */
+public final class FleetApplication implements ReplicatedApplication {
+    private static final String COMMAND_REFUSALS = "lovagegrade_command_refusals";
+
+    private final Clock wallClock = Clock.wall();
+    private final Metrics metrics;
+    private StateMachine machine = StateMachine.empty();
+    private Leadership leadership;
+    private LeaderDuties duties;
+    private EntryViews views;
+    private StatusQueries queries;
+
+    /**
+     * Creates an empty fleet.
+     *
+     * @param metrics counts refusals and times decisions
+     */
+    public FleetApplication(Metrics metrics) {
+        this.metrics = metrics.declare(COMMAND_REFUSALS, RefusalReason.class);
+    }
+
+    @Override
+    public void restore(ByteString snapshot) {
+        machine = StateMachine.fromSnapshot(snapshot);
+    }
+
+    @Override
+    public ByteString snapshot() {
+        return machine.snapshot();
+    }
+
+    @Override
+    public EnvelopeProto apply(LogEntryProto entry, long nowMs) {
+        Applied applied = machine.apply(parse(entry));
+        AuditLines.write(applied, entry.getIndex());
+        if (!applied.repeated()) {
+            RefusalReason.of(applied.outcome()).ifPresent(reason -> metrics.count(COMMAND_REFUSALS, reason));
+        }
+        if (duties != null) {
+            duties.applied(applied, nowMs);
+        }
+        return reply(applied.outcome());
+    }
+
+    @Override
+    public EnvelopeProto outcomeUnknown() {
+        return reply(OutcomeProto.newBuilder()
+                .setStatus(OutcomeStatusProto.OUTCOME_UNKNOWN)
+                .setReason("leadershipLost")
+                .build());
+    }
+
+    @Override
+    public void lead(Leadership fresh, long nowMs) {
+        leadership = fresh;
+        duties = new LeaderDuties(machine, this::proposeOwn, metrics, nowMs, wallClock.nowMs());
+        views = new EntryViews(machine, this::proposeOwn, nowMs);
+        queries = new StatusQueries(machine, duties, views);
+    }
+
+    @Override
+    public void follow() {
+        duties = null;
+        views = null;
+        queries = null;
+    }
+
+    @Override
+    public void tick(long nowMs) {
+        duties.tick(nowMs);
+        views.tick(nowMs);
+    }
+
+    @Override
+    public boolean handle(EnvelopeProto request, Consumer<EnvelopeProto> reply, long nowMs) {
+        switch (request.getBodyCase()) {
+            case COMMAND_REQUEST ->
+                leadership.propose(stamped(request.getCommandRequest().getCommand().toBuilder()), reply);
+            case HEARTBEAT_BATCH ->
+                reply.accept(EnvelopeProto.newBuilder()
+                        .setHeartbeatAnswer(duties.heartbeats(request.getHeartbeatBatch(), nowMs))
+                        .build());
+            case VIEW_REQUEST ->
+                reply.accept(EnvelopeProto.newBuilder()
+                        .setViewReply(views.view(request.getViewRequest(), nowMs))
+                        .build());
+            case QUERY_REQUEST ->
+                reply.accept(EnvelopeProto.newBuilder()
+                        .setQueryReply(queries.answer(request.getQueryRequest(), nowMs).toBuilder()
+                                .setLeader(leadership.leader())
+                                .setMembership(leadership.membership())
+                                .setCommitIndex(leadership.commitIndex()))
+                        .build());
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public Optional<EnvelopeProto> notLeader(EnvelopeProto.BodyCase request, String leader) {
+        return NotLeaderAnswers.to(request, leader);
+    }
+
+    private void proposeOwn(CommandProto.Builder command) {
+        leadership.propose(stamped(command));
+    }
+
+    private ByteString stamped(CommandProto.Builder command) {
+        return command.setAtMs(wallClock.nowMs()).build().toByteString();
+    }
+
+    private static CommandProto parse(LogEntryProto entry) {
+        try {
+            return CommandProto.parseFrom(entry.getCommand());
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException(
+                    "expected: a command in entry " + entry.getIndex() + "\n  actual: " + e.getMessage(), e);
+        }
+    }
+
+    private static EnvelopeProto reply(OutcomeProto outcome) {
+        return EnvelopeProto.newBuilder()
+                .setCommandReply(CommandReplyProto.newBuilder().setOutcome(outcome))
+                .build();
+    }
+}
--- a/state/src/main/java/org/lovagegrade/state/replica/PeerLinks.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/PeerLinks.java
@@ -1,7 +1,9 @@
 package org.lovagegrade.state.replica;
 
-import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.Service;
 import org.lovagegrade.state.consensus.ReplicaId;
@@ -11,22 +13,27 @@
 import org.lovagegrade.wire.proto.EnvelopeProto;
 import org.lovagegrade.wire.proto.RaftMessageProto;
 
-/** The links from one replica to the others, found by their names. */
+/** The links from one replica to the others, made when first used and found by the replicas' names. */
 public final class PeerLinks implements Service {
     /** The name of this service. */
     public static final String NAME = "peerLinks";
 
-    private final Map<String, RpcLink> links = new HashMap<>();
+    private final Map<String, RpcLink> links = new ConcurrentHashMap<>();
+    private final Loops loops;
+    private final Function<String, Optional<Address>> addresses;
+    private final Clock clock;
 
     /**
      * Creates the links; each connects with its first message.
      *
      * @param loops the network threads
-     * @param peers the other replicas by name
+     * @param addresses finds the address of a replica by its name
      * @param clock a monotonic clock
      */
-    public PeerLinks(Loops loops, Map<String, Address> peers, Clock clock) {
-        peers.forEach((name, address) -> links.put(name, RpcLink.to(loops, address, clock)));
+    public PeerLinks(Loops loops, Function<String, Optional<Address>> addresses, Clock clock) {
+        this.loops = loops;
+        this.addresses = addresses;
+        this.clock = clock;
     }
 
     /**
@@ -35,10 +42,21 @@
      * @param message the message
      */
     public void send(RaftMessageProto message) {
-        RpcLink link = links.get(ReplicaId.parse(message.getTo()).name());
-        if (link != null) {
-            link.send(EnvelopeProto.newBuilder().setRaft(message).build());
-        }
+        to(ReplicaId.parse(message.getTo()).name())
+                .ifPresent(link ->
+                        link.send(EnvelopeProto.newBuilder().setRaft(message).build()));
+    }
+
+    /**
+     * Finds the link to a replica.
+     *
+     * @param name the replica's name
+     * @return the link, or empty if it has no address
+     */
+    public Optional<RpcLink> to(String name) {
+        return addresses
+                .apply(name)
+                .map(address -> links.computeIfAbsent(name, _name -> RpcLink.to(loops, address, clock)));
     }
 
     @Override
--- a/state/src/main/java/org/lovagegrade/state/replica/Replica.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Replica.java
@@ -1,6 +1,6 @@
 package org.lovagegrade.state.replica;
 
-import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.Service;
 import org.lovagegrade.kernel.logging.Log;
@@ -18,18 +19,9 @@
 import org.lovagegrade.state.consensus.Raft;
 import org.lovagegrade.state.log.CorruptLogException;
 import org.lovagegrade.state.log.DurableLog;
-import org.lovagegrade.state.machine.Applied;
-import org.lovagegrade.state.machine.RefusalReason;
-import org.lovagegrade.state.machine.StateMachine;
-import org.lovagegrade.state.scheduling.EntryViews;
-import org.lovagegrade.state.scheduling.LeaderDuties;
-import org.lovagegrade.state.scheduling.StatusQueries;
-import org.lovagegrade.wire.proto.CommandProto;
-import org.lovagegrade.wire.proto.CommandReplyProto;
 import org.lovagegrade.wire.proto.EnvelopeProto;
 import org.lovagegrade.wire.proto.LogEntryProto;
-import org.lovagegrade.wire.proto.OutcomeProto;
-import org.lovagegrade.wire.proto.OutcomeStatusProto;
+import org.lovagegrade.wire.proto.MembershipProto;
 import org.lovagegrade.wire.proto.RaftMessageProto;
 import org.lovagegrade.wire.proto.SnapshotMetaProto;
 
@@ -43,7 +35,6 @@
     public static final String NAME = "replica";
 
     private static final String REPLICA_REFUSALS = "lovagegrade_state_refusals";
-    private static final String COMMAND_REFUSALS = "lovagegrade_command_refusals";
     private static final long TICK_MS = 20;
     private static final long JOIN_INTERVAL_MS = 500;
     private static final long TRANSFER_WAIT_MS = 1_500;
@@ -55,17 +46,15 @@
     private final Raft raft;
     private final DurableLog log;
     private final Consumer<RaftMessageProto> network;
-    private final List<String> peerNames;
+    private final Supplier<List<String>> peerNames;
+    private final ReplicatedApplication application;
     private final Clock clock;
-    private final Clock wallClock;
     private final Metrics metrics;
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final Map<Long, Pending> pending = new TreeMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private StateMachine machine;
-    private LeaderDuties duties;
-    private EntryViews views;
-    private StatusQueries queries;
+    private final Leadership leadership = new RaftLeadership();
+    private boolean decides;
     private long appliedIndex;
     private long nextJoinMs;
     private boolean proposed;
@@ -82,29 +71,32 @@
      * @param raft the consensus replica over the log
      * @param log the log
      * @param network sends messages to other replicas
-     * @param peerNames the names of the other replicas
+     * @param peerNames gives the names of other replicas, to ask them to be taken in
+     * @param application what is replicated
      * @param clock a monotonic clock
-     * @param metrics counts refusals and times decisions
+     * @param metrics counts refusals
      * @throws CorruptLogException if the snapshot is damaged
      */
     public Replica(
             Raft raft,
             DurableLog log,
             Consumer<RaftMessageProto> network,
-            List<String> peerNames,
+            Supplier<List<String>> peerNames,
+            ReplicatedApplication application,
             Clock clock,
             Metrics metrics)
             throws CorruptLogException {
         this.raft = raft;
         this.log = log;
         this.network = network;
-        this.peerNames = List.copyOf(peerNames);
+        this.peerNames = peerNames;
+        this.application = application;
         this.clock = clock;
-        this.wallClock = Clock.wall();
-        this.metrics =
-                metrics.declare(REPLICA_REFUSALS, StateRefusal.class).declare(COMMAND_REFUSALS, RefusalReason.class);
+        this.metrics = metrics.declare(REPLICA_REFUSALS, StateRefusal.class);
         this.appliedIndex = log.snapshotMeta().getIndex();
-        this.machine = appliedIndex > 0 ? StateMachine.fromSnapshot(log.readSnapshot()) : StateMachine.empty();
+        if (appliedIndex > 0) {
+            application.restore(log.readSnapshot());
+        }
     }
 
     /**
@@ -219,11 +211,11 @@
             return;
         }
         nextJoinMs = nowMs + JOIN_INTERVAL_MS;
-        peerNames.forEach(raft::askToJoin);
+        peerNames.get().forEach(raft::askToJoin);
     }
 
     private void install(InstalledSnapshot snapshot) {
-        machine = StateMachine.fromSnapshot(snapshot.data());
+        application.restore(snapshot.data());
         appliedIndex = snapshot.meta().getIndex();
     }
 
@@ -233,58 +225,34 @@
         if (entry.getCommand().isEmpty()) {
             return;
         }
-        Applied applied = machine.apply(parse(entry));
-        AuditLines.write(applied, entry.getIndex());
-        if (!applied.repeated()) {
-            RefusalReason.of(applied.outcome()).ifPresent(reason -> metrics.count(COMMAND_REFUSALS, reason));
-        }
-        if (duties != null) {
-            duties.applied(applied, clock.nowMs());
-        }
+        EnvelopeProto answer = application.apply(entry, clock.nowMs());
         if (waiting != null) {
             boolean isOwn = waiting.term() == entry.getTerm();
-            waiting.reply().accept(reply(isOwn ? applied.outcome() : unknown()));
-        }
-    }
-
-    private static CommandProto parse(LogEntryProto entry) {
-        try {
-            return CommandProto.parseFrom(entry.getCommand());
-        } catch (InvalidProtocolBufferException e) {
-            throw new IllegalStateException(
-                    "expected: a command in entry " + entry.getIndex() + "\n  actual: " + e.getMessage(), e);
+            waiting.reply().accept(isOwn ? answer : application.outcomeUnknown());
         }
     }
 
     private void lead(long nowMs) {
         boolean mayDecide = raft.holdsLease(nowMs);
         if (!raft.isLeader() && !pending.isEmpty()) {
-            pending.values().forEach(waiting -> waiting.reply().accept(reply(unknown())));
+            pending.values().forEach(waiting -> waiting.reply().accept(application.outcomeUnknown()));
             pending.clear();
         }
-        if (!raft.isLeader() && duties != null) {
+        if (decides && (!raft.isLeader() || raft.isTransferring())) {
             Log.event("leadershipLost").with("term", raft.term()).warn();
-            duties = null;
-            views = null;
-            queries = null;
+            decides = false;
+            application.follow();
         }
         leads = mayDecide;
         if (!mayDecide) {
             return;
         }
-        if (duties == null) {
+        if (!decides) {
             Log.event("leadershipTaken").with("term", raft.term()).info();
-            duties = new LeaderDuties(machine, this::proposeOwn, metrics, nowMs, wallClock.nowMs());
-            views = new EntryViews(machine, this::proposeOwn, nowMs);
-            queries = new StatusQueries(machine, duties, views);
+            decides = true;
+            application.lead(leadership, nowMs);
         }
-        duties.tick(nowMs);
-        views.tick(nowMs);
-    }
-
-    private void proposeOwn(CommandProto.Builder command) {
-        raft.propose(command.setAtMs(wallClock.nowMs()).build().toByteString());
-        proposed = true;
+        application.tick(nowMs);
     }
 
     private void snapshotIfDue() {
@@ -297,7 +265,7 @@
                 .setTerm(log.termAt(appliedIndex))
                 .setMembership(raft.membershipAt(appliedIndex))
                 .build();
-        log.saveSnapshot(meta, machine.snapshot());
+        log.saveSnapshot(meta, application.snapshot());
         Log.event("snapshot").with("index", appliedIndex).info();
     }
 
@@ -309,56 +277,62 @@
             raft.receive(request.getRaft(), nowMs);
             return;
         }
-        if (duties == null || !raft.holdsLease(nowMs)) {
+        if (!decides || !raft.holdsLease(nowMs)) {
             metrics.count(REPLICA_REFUSALS, StateRefusal.NOT_LEADER);
             notLeader(request.getBodyCase()).ifPresent(reply);
             return;
         }
-        switch (request.getBodyCase()) {
-            case COMMAND_REQUEST -> propose(request.getCommandRequest().getCommand(), reply);
-            case HEARTBEAT_BATCH ->
-                reply.accept(EnvelopeProto.newBuilder()
-                        .setHeartbeatAnswer(duties.heartbeats(request.getHeartbeatBatch(), nowMs))
-                        .build());
-            case VIEW_REQUEST ->
-                reply.accept(EnvelopeProto.newBuilder()
-                        .setViewReply(views.view(request.getViewRequest(), nowMs))
-                        .build());
-            case QUERY_REQUEST ->
-                reply.accept(EnvelopeProto.newBuilder()
-                        .setQueryReply(queries.answer(request.getQueryRequest(), nowMs).toBuilder()
-                                .setLeader(raft.leader())
-                                .setMembership(raft.committedMembership())
-                                .setCommitIndex(raft.commitIndex()))
-                        .build());
-            default -> metrics.count(REPLICA_REFUSALS, StateRefusal.UNKNOWN_REQUEST);
+        if (!application.handle(request, reply, nowMs)) {
+            metrics.count(REPLICA_REFUSALS, StateRefusal.UNKNOWN_REQUEST);
         }
     }
 
-    private void propose(CommandProto command, Consumer<EnvelopeProto> reply) {
-        OptionalLong index = raft.propose(
-                command.toBuilder().setAtMs(wallClock.nowMs()).build().toByteString());
-        if (index.isEmpty()) {
-            notLeader(EnvelopeProto.BodyCase.COMMAND_REQUEST).ifPresent(reply);
-            return;
-        }
-        pending.put(index.getAsLong(), new Pending(raft.term(), reply));
-    }
-
     private Optional<EnvelopeProto> notLeader(EnvelopeProto.BodyCase request) {
-        return NotLeaderAnswers.to(request, raft.isLeader() ? "" : raft.leader());
+        return application.notLeader(request, raft.isLeader() ? "" : raft.leader());
     }
 
-    private static EnvelopeProto reply(OutcomeProto outcome) {
-        return EnvelopeProto.newBuilder()
-                .setCommandReply(CommandReplyProto.newBuilder().setOutcome(outcome))
-                .build();
-    }
+    /** Lets the application propose while this replica leads. */
+    private final class RaftLeadership implements Leadership {
+        @Override
+        public void propose(ByteString command) {
+            raft.propose(command);
+            proposed = true;
+        }
 
-    private static OutcomeProto unknown() {
-        return OutcomeProto.newBuilder()
-                .setStatus(OutcomeStatusProto.OUTCOME_UNKNOWN)
-                .setReason("leadershipLost")
-                .build();
+        @Override
+        public void propose(ByteString command, Consumer<EnvelopeProto> reply) {
+            OptionalLong index = raft.propose(command);
+            proposed = true;
+            if (index.isEmpty()) {
+                notLeader(EnvelopeProto.BodyCase.COMMAND_REQUEST).ifPresent(reply);
+                return;
+            }
+            pending.put(index.getAsLong(), new Pending(raft.term(), reply));
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            queue.add(task);
+        }
+
+        @Override
+        public long term() {
+            return raft.term();
+        }
+
+        @Override
+        public String leader() {
+            return raft.leader();
+        }
+
+        @Override
+        public MembershipProto membership() {
+            return raft.committedMembership();
+        }
+
+        @Override
+        public long commitIndex() {
+            return raft.commitIndex();
+        }
     }
 }
