--- a/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
@@ -42,6 +42,7 @@
     private final Set<String> replicas = new LinkedHashSet<>();
     private String preferred = "";
     private long highestVersion;
+    private boolean isSeeking;
     private volatile long answeredAtMs;
     private volatile boolean hasAnswered;
 
@@ -194,6 +195,7 @@
             case GRAPH_OK -> {
                 highestVersion = reply.getDocumentVersion();
                 answeredAtMs = clock.nowMs();
+                found(tried);
                 hasAnswered = true;
                 question.result.complete(new LeaderAnswer.Answered(reply, question.perhapsTaken));
             }
@@ -211,6 +213,13 @@
         }
     }
 
+    private void found(String host) {
+        if (isSeeking) {
+            isSeeking = false;
+            Log.event("leaderFound").with("host", host).info();
+        }
+    }
+
     private void again(Question question) {
         loop.schedule(PAUSE_MS, () -> attempt(question));
     }
@@ -226,10 +235,9 @@
         } else if (!hosts.isEmpty()) {
             preferred = hosts.get((hosts.indexOf(tried) + 1) % hosts.size());
         }
-        Log.event("leaderSought")
-                .with("tried", tried)
-                .with("next", preferred)
-                .with("hint", hint)
-                .info();
+        if (!isSeeking) {
+            isSeeking = true;
+            Log.event("leaderLost").with("host", tried).with("hint", hint).warn();
+        }
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -44,6 +44,8 @@
     private static final long LISTING_WAIT_MS = 1_500;
     /** The pause before an unanswered call is made again. */
     private static final long RETRY_MS = 150;
+    /** A worker whose ends are being committed is asked again after this time at the latest, to renew its lease. */
+    private static final long COMMIT_WAIT_MS = 1_000;
     /** The pause before a stopped run that is still listed is stopped again, beyond the time that a stop may take. */
     private static final long STOP_AGAIN_MS = 1_000;
     /** How long a worker that reports to be unwell, or refuses what should fit, gets no starts. */
@@ -328,6 +330,10 @@
         if (session.renewing || session.goneProposed || closed || fencedOut || nowMs < session.nextRenewMs) {
             return;
         }
+        boolean isCommitAwaited = session.proposedCursor > session.record.cursor();
+        if (isCommitAwaited && nowMs - session.heardAtMs < COMMIT_WAIT_MS) {
+            return;
+        }
         if (session.lapsed && !session.tombstones.isEmpty() && session.clock.isKnown()) {
             buryNext(session);
             return;
