--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -168,7 +168,8 @@
     private EnvelopeProto envelope(GraphReplyProto.Builder reply) {
         machine.document()
                 .ifPresent(document -> reply.setDocumentVersion(document.proto().getVersion()));
-        if (leadership != null && leader != null) {
+        boolean isLeaderKnown = leader != null && !leadership.leader().isEmpty();
+        if (isLeaderKnown) {
             reply.setLeader(ReplicaId.parse(leadership.leader()).name());
             List<String> voters = leadership.membership().getVotersList();
             voters.forEach(voter -> reply.addReplicas(ReplicaId.parse(voter).name()));
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -50,6 +50,8 @@
     private static final long STOP_AGAIN_MS = 1_000;
     /** How long a worker that reports to be unwell, or refuses what should fit, gets no starts. */
     private static final long UNWELL_MS = 1_000;
+    /** An order without an answer may arrive this much later. */
+    private static final long LATE_ORDER_MS = 15_000;
     /** A worker that is silent for this long after its lease has passed is forgotten. */
     private static final long FORGET_MS = 15_000;
 
@@ -137,6 +139,12 @@
         session.orders.values().stream()
                 .filter(order -> order.inDoubt || order.inFlight)
                 .forEach(order -> doubts.add(order.run.key()));
+        long nowMs = clock.nowMs();
+        session.doubtedUntilMs.forEach((run, untilMs) -> {
+            if (untilMs > nowMs) {
+                doubts.add(run);
+            }
+        });
         if (!doubts.isEmpty()) {
             doubtsOfFormerLives.put(session.id(), doubts);
         }
@@ -237,7 +245,10 @@
         } else if (outcome instanceof OrderOutcome.Refused refused) {
             startRefused(session, order, refused.reason(), nowMs);
         } else {
-            order.inDoubt |= outcome instanceof OrderOutcome.Unanswered;
+            if (outcome instanceof OrderOutcome.Unanswered) {
+                order.inDoubt = true;
+                session.doubtedUntilMs.put(order.run.key(), nowMs + LATE_ORDER_MS);
+            }
             session.unanswered = true;
             order.nextTryMs = nowMs + RETRY_MS;
         }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -18,6 +18,8 @@
     final Map<RunKey, RunOrder> orders = new HashMap<>();
     /** Runs given up while their start might still arrive; stopped before the worker is used again. */
     final Set<RunKey> tombstones = new HashSet<>();
+    /** Runs with a start that was not answered, and until when such an order may still arrive. */
+    final Map<RunKey, Long> doubtedUntilMs = new HashMap<>();
 
     boolean introduced;
     boolean lapsed;
--- /dev/null
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -0,0 +1,302 @@
+package org.lovagegrade.graph.leader;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.lovagegrade.graph.machine.GraphMachine;
+import org.lovagegrade.graph.machine.JobRecord;
+import org.lovagegrade.graph.machine.MachineListener;
+import org.lovagegrade.graph.machine.Room;
+import org.lovagegrade.graph.machine.RunKey;
+import org.lovagegrade.graph.machine.TaskKey;
+import org.lovagegrade.graph.worker.EndView;
+import org.lovagegrade.graph.worker.OrderOutcome;
+import org.lovagegrade.graph.worker.OrderRefusal;
+import org.lovagegrade.graph.worker.RenewOrder;
+import org.lovagegrade.graph.worker.RenewOutcome;
+import org.lovagegrade.graph.worker.StartOrder;
+import org.lovagegrade.graph.worker.WorkerLink;
+import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphProto;
+import org.lovagegrade.wire.proto.PoolProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.ResourcesProto;
+import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.StepProto;
+import org.lovagegrade.wire.proto.WorkerProto;
+
+/** A leader, a log that commits after a while, and workers whose links lose, delay and repeat; checks what is promised. */
+final class SimulatedCell implements WorkerLink {
+    static final String POOL = "pool";
+    private static final String QUEUE = "queue";
+    private static final long LEASE_MS = 4_000;
+    private static final long TICK_MS = 5;
+    private static final Room CAPACITY = new Room(4_000, 4_000, 0);
+    private static final long ANSWER_TIMEOUT_MS = 300;
+    private static final long LATEST_ORDER_MS = 12_000;
+
+    final SimulatedTime time = new SimulatedTime();
+    final List<String> violations = new ArrayList<>();
+    private final Random random;
+    private final double trouble;
+    private final GraphMachine machine = GraphMachine.keepingEndedFor(1_000_000);
+    private final Map<String, SimulatedWorker> workers = new HashMap<>();
+    private final Set<String> cutOff = new HashSet<>();
+    private final Set<TaskKey> notedDone = new HashSet<>();
+    private GraphLeader leader;
+    private WorkerDriver driver;
+    private long term;
+    private int nextJob;
+
+    SimulatedCell(long seed, int workerCount, double trouble) {
+        this.random = new Random(seed);
+        this.trouble = trouble;
+        machine.apply(GraphCommandProto.newBuilder()
+                .setConfigure(FleetDocumentProto.newBuilder()
+                        .setVersion(1)
+                        .setSource(ByteString.copyFromUtf8("1"))
+                        .addPools(PoolProto.newBuilder().setName(POOL))
+                        .addQueues(QueueProto.newBuilder()
+                                .setName(QUEUE)
+                                .setPool(POOL)
+                                .setMaxAttempts(1_000)))
+                .build());
+        for (int number = 0; number < workerCount; number++) {
+            boot("w" + number);
+        }
+        elect();
+        time.after(TICK_MS, this::tick);
+    }
+
+    // --- what happens
+
+    void elect() {
+        if (leader != null) {
+            leader.close();
+            leader = null;
+            machine.listen(MachineListener.NONE);
+        }
+        term++;
+        long mine = term;
+        time.after(1 + random.nextInt(1_000), () -> {
+            if (term == mine) {
+                lead(mine);
+            }
+        });
+    }
+
+    private void lead(long mine) {
+        Proposals proposals = command -> commit(mine, command);
+        driver = new WorkerDriver(
+                new WorkerDriver.Parts(
+                        this, Runnable::run, proposals, new LeaderTimings(LEASE_MS, 200), time, Metrics.create()),
+                mine,
+                time.nowMs());
+        leader = new GraphLeader(machine, driver, proposals, time, time);
+        machine.listen(leader);
+    }
+
+    private void commit(long mine, GraphCommandProto.Builder command) {
+        time.after(1 + random.nextInt(15), () -> {
+            if (term == mine) {
+                machine.apply(command.setAtMs(time.nowMs()).build());
+            }
+        });
+    }
+
+    private void tick() {
+        if (leader != null) {
+            leader.tick(time.nowMs());
+            for (SimulatedWorker worker : workers.values()) {
+                beat(worker);
+            }
+        }
+        time.after(TICK_MS, this::tick);
+    }
+
+    private void beat(SimulatedWorker worker) {
+        boolean isHeard = worker.isUp() && !cutOff.contains(worker.info().getId());
+        if (isHeard && random.nextInt(100) == 0) {
+            long mine = term;
+            leader.worker(worker.info(), () -> {}, command -> commit(mine, command));
+        }
+    }
+
+    private void boot(String id) {
+        SimulatedWorker worker = new SimulatedWorker(time, this, id, CAPACITY, time.nowMs(), random.nextBoolean());
+        workers.put(id, worker);
+    }
+
+    void crashOne() {
+        String id = "w" + random.nextInt(workers.size());
+        workers.get(id).crash();
+        time.after(500 + random.nextInt(4_000), () -> boot(id));
+    }
+
+    void cutOne(long lengthMs) {
+        String id = "w" + random.nextInt(workers.size());
+        cutOff.add(id);
+        time.after(lengthMs, () -> cutOff.remove(id));
+    }
+
+    String submit(StepProto... steps) {
+        String id = "job" + nextJob++;
+        GraphProto.Builder graph =
+                GraphProto.newBuilder().setId(id).setQueue(QUEUE).setWorkspace("team");
+        for (StepProto step : steps) {
+            graph.addSteps(step);
+        }
+        machine.apply(GraphCommandProto.newBuilder()
+                .setAtMs(time.nowMs())
+                .setSubmit(graph)
+                .build());
+        return id;
+    }
+
+    void cancel(String id) {
+        machine.apply(GraphCommandProto.newBuilder()
+                .setAtMs(time.nowMs())
+                .setCancel(id)
+                .build());
+    }
+
+    JobRecord job(String id) {
+        return machine.job(id).orElseThrow();
+    }
+
+    GraphMachine machine() {
+        return machine;
+    }
+
+    static StepProto tasks(int count, long milliCores, boolean gang, int... after) {
+        StepProto.Builder step = StepProto.newBuilder()
+                .setCount(count)
+                .setGang(gang)
+                .setPerTask(
+                        ResourcesProto.newBuilder().setMilliCores(milliCores).setMemoryMb(10));
+        for (int earlier : after) {
+            step.addAfter(earlier);
+        }
+        return step.build();
+    }
+
+    /** How long a run works, and how it ends by itself. */
+    void planEnd(SimulatedWorker worker, RunKey run) {
+        RunEndProto how = random.nextInt(20) == 0 ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
+        time.after(50 + random.nextInt(1_500), () -> worker.end(run, how));
+    }
+
+    Room roomOf(TaskKey task) {
+        return job(task.job()).step(task.occurrence(), task.step()).perTask();
+    }
+
+    // --- what must hold
+
+    void check(String promise, boolean holds, Supplier<String> context) {
+        if (!holds) {
+            violations.add(time.nowMs() + " " + promise + ": " + context.get());
+        }
+    }
+
+    void checkStart(SimulatedWorker worker, RunKey run) {
+        TaskKey task = run.task();
+        for (SimulatedWorker other : workers.values()) {
+            check(
+                    "one run at a time",
+                    other == worker || !other.isRunning(task),
+                    () -> run + " on " + worker.info().getId() + " and "
+                            + other.info().getId());
+        }
+        check("no run after the end", !notedDone.contains(task), () -> run + " was done");
+        check(
+                "order of steps",
+                job(task.job()).step(task.occurrence(), task.step()).isReady(),
+                () -> run + " before the steps that it waits for");
+    }
+
+    void noted(EndView end, boolean leaseHolds) {
+        boolean isSingle = !job(end.key().task().job())
+                .step(end.key().task().occurrence(), end.key().task().step())
+                .spec()
+                .getGang();
+        if (end.how() == RunEndProto.RUN_DONE && leaseHolds && isSingle) {
+            notedDone.add(end.key().task());
+        }
+    }
+
+    // --- links with faults
+
+    @Override
+    public void start(WorkerProto worker, StartOrder order, Consumer<OrderOutcome> result) {
+        carry(worker, target -> target.start(order), result);
+    }
+
+    @Override
+    public void stop(WorkerProto worker, RunKey run, long fence, Consumer<OrderOutcome> result) {
+        carry(worker, target -> target.stop(run, fence), result);
+    }
+
+    /** An order to a worker. */
+    @FunctionalInterface
+    private interface Order {
+        OrderOutcome at(SimulatedWorker worker);
+    }
+
+    private void carry(WorkerProto to, Order order, Consumer<OrderOutcome> result) {
+        boolean isCut = cutOff.contains(to.getId());
+        if (random.nextDouble() < trouble) {
+            time.after(ANSWER_TIMEOUT_MS, () -> result.accept(new OrderOutcome.Unanswered()));
+            boolean arrivesLate = random.nextBoolean();
+            if (arrivesLate) {
+                time.after(1_000 + random.nextInt((int) LATEST_ORDER_MS - 1_000), () -> answer(to, order, _late -> {}));
+            } else if (!isCut) {
+                time.after(1, () -> answer(to, order, _lost -> {}));
+            }
+            return;
+        }
+        if (isCut) {
+            time.after(ANSWER_TIMEOUT_MS, () -> result.accept(new OrderOutcome.Unanswered()));
+            return;
+        }
+        time.after(1 + random.nextInt(4), () -> answer(to, order, result));
+    }
+
+    private void answer(WorkerProto to, Order order, Consumer<OrderOutcome> result) {
+        SimulatedWorker worker = workers.get(to.getId());
+        if (!worker.isUp()) {
+            result.accept(new OrderOutcome.NotSent());
+        } else if (worker.info().getBornMs() != to.getBornMs()) {
+            result.accept(new OrderOutcome.Refused(OrderRefusal.OTHER_LIFE));
+        } else {
+            result.accept(order.at(worker));
+        }
+    }
+
+    @Override
+    public void renew(WorkerProto to, RenewOrder order, Consumer<RenewOutcome> result) {
+        if (cutOff.contains(to.getId()) || random.nextDouble() < trouble) {
+            time.after(ANSWER_TIMEOUT_MS, () -> result.accept(new RenewOutcome.Unanswered(false)));
+            return;
+        }
+        time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
+            SimulatedWorker worker = workers.get(to.getId());
+            if (worker.isUp() && !cutOff.contains(to.getId())) {
+                result.accept(worker.renew(order));
+            } else {
+                result.accept(new RenewOutcome.Unanswered(false));
+            }
+        });
+    }
+
+    @Override
+    public void forget(WorkerProto _worker) {}
+}
--- /dev/null
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -0,0 +1,167 @@
+package org.lovagegrade.graph.leader;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.lovagegrade.graph.machine.Room;
+import org.lovagegrade.graph.machine.RunKey;
+import org.lovagegrade.graph.machine.TaskKey;
+import org.lovagegrade.graph.worker.EndView;
+import org.lovagegrade.graph.worker.OrderOutcome;
+import org.lovagegrade.graph.worker.OrderRefusal;
+import org.lovagegrade.graph.worker.RenewOrder;
+import org.lovagegrade.graph.worker.RenewOutcome;
+import org.lovagegrade.graph.worker.RunView;
+import org.lovagegrade.graph.worker.StartOrder;
+import org.lovagegrade.wire.proto.ResourcesProto;
+import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.WorkerProto;
+
+/** One life of a worker as the platform's pages describe it: fences, leases on its own clock, ends until noted. */
+final class SimulatedWorker {
+    private static final long STOP_MS = 200;
+    private static final double SLOWEST_CLOCK = 0.98;
+
+    private final SimulatedTime time;
+    private final SimulatedCell cell;
+    private final WorkerProto info;
+    private final long startedAtMs;
+    private final double clockRate;
+    private final Map<TaskKey, Integer> running = new LinkedHashMap<>();
+    private final Map<TaskKey, Integer> highestEnded = new HashMap<>();
+    private final List<EndView> ends = new ArrayList<>();
+    private Room used = Room.NONE;
+    private long highestFence;
+    private long leaseUntilMs;
+    private long ended;
+    /** Ends up to this number were not noted before a lease passed; a later note of them does not count. */
+    private long lapsedThrough;
+
+    private boolean isUp = true;
+
+    SimulatedWorker(SimulatedTime time, SimulatedCell cell, String id, Room capacity, long bornMs, boolean slowClock) {
+        this.time = time;
+        this.cell = cell;
+        this.startedAtMs = time.nowMs();
+        this.clockRate = slowClock ? SLOWEST_CLOCK : 1.0;
+        this.info = WorkerProto.newBuilder()
+                .setId(id)
+                .setBornMs(bornMs)
+                .setAddress(id + ":1")
+                .setPool(SimulatedCell.POOL)
+                .setSequence(1)
+                .setCapacity(ResourcesProto.newBuilder()
+                        .setMilliCores(capacity.milliCores())
+                        .setMemoryMb(capacity.memoryMb()))
+                .build();
+    }
+
+    WorkerProto info() {
+        return info;
+    }
+
+    boolean isUp() {
+        return isUp;
+    }
+
+    boolean isRunning(TaskKey task) {
+        return isUp && running.containsKey(task);
+    }
+
+    /** All that runs here ends, and nothing is known of it afterwards. */
+    void crash() {
+        isUp = false;
+        running.clear();
+    }
+
+    private long clockMs() {
+        return 1 + (long) ((time.nowMs() - startedAtMs) * clockRate);
+    }
+
+    OrderOutcome start(StartOrder order) {
+        if (order.fence() < highestFence) {
+            return new OrderOutcome.Refused(OrderRefusal.FENCED);
+        }
+        highestFence = order.fence();
+        TaskKey task = order.run().task();
+        int run = order.run().run();
+        if (running.getOrDefault(task, 0) == run) {
+            return new OrderOutcome.Done(clockMs());
+        }
+        if (run <= highestEnded.getOrDefault(task, 0)) {
+            return new OrderOutcome.Refused(OrderRefusal.OUTDATED);
+        }
+        if (order.untilMs() <= clockMs()) {
+            return new OrderOutcome.Refused(OrderRefusal.TOO_LATE);
+        }
+        grant(order.untilMs());
+        cell.checkStart(this, order.run());
+        running.put(task, run);
+        used = used.plus(cell.roomOf(task));
+        cell.check("room", used.fitsInto(Room.of(info.getCapacity())), () -> info.getId() + " uses " + used);
+        cell.planEnd(this, order.run());
+        return new OrderOutcome.Done(clockMs());
+    }
+
+    OrderOutcome stop(RunKey run, long fence) {
+        if (fence < highestFence) {
+            return new OrderOutcome.Refused(OrderRefusal.FENCED);
+        }
+        highestFence = fence;
+        if (running.getOrDefault(run.task(), 0) == run.run()) {
+            time.after(STOP_MS, () -> end(run, RunEndProto.RUN_STOPPED));
+        } else {
+            highestEnded.merge(run.task(), run.run(), Math::max);
+        }
+        return new OrderOutcome.Done(clockMs());
+    }
+
+    RenewOutcome renew(RenewOrder order) {
+        if (order.fence() < highestFence) {
+            return new RenewOutcome.Refused(OrderRefusal.FENCED);
+        }
+        highestFence = order.fence();
+        if (order.untilMs() > clockMs()) {
+            grant(order.untilMs());
+        }
+        noted(order.cursor());
+        List<RunView> views = new ArrayList<>();
+        running.forEach((task, run) -> views.add(new RunView(new RunKey(task, run), "", 1, 0)));
+        return new RenewOutcome.Listed(clockMs(), info.getBornMs(), views, List.copyOf(ends));
+    }
+
+    private void noted(long cursor) {
+        for (EndView end : List.copyOf(ends)) {
+            if (end.number() <= cursor) {
+                ends.remove(end);
+                cell.noted(end, end.number() > lapsedThrough);
+            }
+        }
+    }
+
+    private void grant(long untilMs) {
+        leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+        time.after((long) ((leaseUntilMs - clockMs()) / clockRate) + 1, this::lapse);
+    }
+
+    private void lapse() {
+        if (isUp && clockMs() >= leaseUntilMs) {
+            lapsedThrough = ended;
+            List.copyOf(running.entrySet())
+                    .forEach(entry -> end(new RunKey(entry.getKey(), entry.getValue()), RunEndProto.RUN_LAPSED));
+        }
+    }
+
+    void end(RunKey run, RunEndProto how) {
+        if (!isUp || running.getOrDefault(run.task(), 0) != run.run()) {
+            return;
+        }
+        running.remove(run.task());
+        used = used.minus(cell.roomOf(run.task()));
+        highestEnded.merge(run.task(), run.run(), Math::max);
+        ended++;
+        ends.add(new EndView(ended, run, how, ""));
+    }
+}
--- /dev/null
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
@@ -0,0 +1,95 @@
+package org.lovagegrade.graph.leader;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagegrade.wire.proto.GraphStateProto;
+
+final class WorkerDriverFuzzTest {
+    private static final int WORKERS = 4;
+    private static final int SEEDS = 150;
+    private static final long STEP_MS = 500;
+    private static final int STEPS = 60;
+    private static final long QUIET_MS = 60_000;
+
+    /** Plays a day with troubles drawn from a seed, then a quiet end in which everything must complete. */
+    private static SimulatedCell play(long seed, double trouble) {
+        Random random = new Random(seed);
+        SimulatedCell cell = new SimulatedCell(seed, WORKERS, trouble);
+        List<String> jobs = new ArrayList<>();
+        for (int step = 0; step < STEPS; step++) {
+            int width = 1 + random.nextInt(4);
+            boolean gang = random.nextInt(3) == 0;
+            jobs.add(cell.submit(
+                    SimulatedCell.tasks(width, 500 + random.nextInt(1_000), gang),
+                    SimulatedCell.tasks(1 + random.nextInt(3), 700, false, 0)));
+            switch (random.nextInt(12)) {
+                case 0 -> cell.elect();
+                case 1 -> cell.crashOne();
+                case 2 -> cell.cutOne(1_000 + random.nextInt(9_000));
+                case 3 -> cell.cancel(jobs.get(random.nextInt(jobs.size())));
+                default -> {}
+            }
+            cell.time.advance(STEP_MS);
+        }
+        cell.time.advance(QUIET_MS);
+        return cell;
+    }
+
+    @Nested
+    final class Troubles {
+        @Test
+        void shouldKeepEveryPromiseWhateverOrdersDo() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = play(seed, 0.08);
+
+                assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+            }
+        }
+
+        @Test
+        void shouldCompleteAllJobsOnceTheTroublesEnd() {
+            for (long seed = 0; seed < 20; seed++) {
+                SimulatedCell cell = play(seed, 0.02);
+
+                assertWithMessage("seed " + seed).that(cell.machine().active()).isEmpty();
+            }
+        }
+    }
+
+    @Nested
+    final class Quiet {
+        @Test
+        void shouldRunStepsInOrderAndCompleteTheJob() {
+            SimulatedCell cell = new SimulatedCell(1, WORKERS, 0);
+            String job = cell.submit(SimulatedCell.tasks(6, 1_000, true), SimulatedCell.tasks(3, 4_000, false, 0));
+
+            cell.time.advance(60_000);
+
+            assertThat(cell.job(job).state()).isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+            assertThat(cell.violations).isEmpty();
+        }
+
+        @Test
+        void shouldStopWhatRunsWhenTheJobIsCancelled() {
+            SimulatedCell cell = new SimulatedCell(2, WORKERS, 0);
+            cell.time.advance(2_000);
+            String job = cell.submit(SimulatedCell.tasks(16, 1_000, false));
+            cell.time.advance(100);
+            int running = cell.machine().runs().size();
+
+            cell.cancel(job);
+            cell.time.advance(1_000);
+
+            assertThat(running).isAtLeast(8);
+
+            assertThat(cell.job(job).state()).isEqualTo(GraphStateProto.GRAPH_CANCELLED);
+            assertThat(cell.machine().runs()).isEmpty();
+        }
+    }
+}
