--- a/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
@@ -32,6 +32,8 @@
 
     private static final long ATTEMPT_TIMEOUT_MS = 800;
     private static final long PAUSE_MS = 40;
+    /** A request that no replica has taken in is given up after this long without any leader. */
+    private static final long LEADERLESS_MS = 500;
 
     private final Loops loops;
     private final Loop loop;
@@ -43,6 +45,7 @@
     private String preferred = "";
     private long highestVersion;
     private boolean isSeeking;
+    private long seekingSinceMs;
     private volatile long answeredAtMs;
     private volatile boolean hasAnswered;
 
@@ -130,6 +133,7 @@
         private final long attemptMs;
         private final CompletableFuture<LeaderAnswer> result = new CompletableFuture<>();
         private boolean perhapsTaken;
+        private boolean hasTried;
         private String lastReason = "no replica is known";
 
         Question(EnvelopeProto request, long deadlineMs, long attemptMs) {
@@ -145,7 +149,14 @@
     }
 
     private void attempt(Question question) {
-        long leftMs = question.deadlineMs - clock.nowMs();
+        long nowMs = clock.nowMs();
+        long leftMs = question.deadlineMs - nowMs;
+        boolean isHopeless = !question.perhapsTaken && isSeeking && nowMs - seekingSinceMs > LEADERLESS_MS;
+        if (isHopeless && question.hasTried) {
+            question.giveUp();
+            return;
+        }
+        question.hasTried = true;
         List<String> hosts = hosts();
         if (leftMs <= 0 || hosts.isEmpty()) {
             question.giveUp();
@@ -237,6 +248,7 @@
         }
         if (!isSeeking) {
             isSeeking = true;
+            seekingSinceMs = clock.nowMs();
             Log.event("leaderLost").with("host", tried).with("hint", hint).warn();
         }
     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -238,6 +238,11 @@
         }
         Plan plan = new Planner(slots(nowMs), tickets(nowMs), quotas()).plan(demands);
         for (AdviceWish wish : plan.wishes()) {
+            Log.event("adviceWanted")
+                    .with("step", wish.step())
+                    .with("workers", wish.workers().size())
+                    .with("waiting", advice.waiting())
+                    .info();
             advice.want(wish.step(), wish.workers(), wish.priority(), wish.costMs(), nowMs);
         }
         if (!plan.placements().isEmpty()) {
@@ -250,6 +255,17 @@
         for (Placement placement : placements) {
             RunKey key = new RunKey(placement.step().key(placement.index()), placement.run());
             planned.put(key, placement);
+            Log.event("startDecided")
+                    .with("run", key.toString())
+                    .with("worker", placement.worker().getId())
+                    .with(
+                            "sinceDueMs",
+                            wallClock.nowMs()
+                                    - placement
+                                            .step()
+                                            .job()
+                                            .dueAtMs(placement.step().occurrence()))
+                    .info();
             starts.addStarts(StartProto.newBuilder()
                     .setTask(key.task().toProto())
                     .setRun(key.run())
