--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBoard.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBoard.java
@@ -29,7 +29,7 @@
     /** How long beyond its expected time an answer is waited for. */
     private static final long ANSWER_SLACK_MS = 1_500;
     /** How long an offer is held when there is nothing to ask. */
-    private static final long HOLD_OFFER_MS = 1_000;
+    private static final long HOLD_OFFER_MS = 500;
     /** A process that offered nothing for this long is not counted. */
     private static final long CALLER_SILENT_MS = 5_000;
 
--- a/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
@@ -32,7 +32,7 @@
 
     private static final long ATTEMPT_TIMEOUT_MS = 800;
     private static final long PAUSE_MS = 40;
-    /** A request that no replica has taken in is given up after this long without any leader. */
+    /** A request is given up once no leader was found for this long; its caller may reach one elsewhere. */
     private static final long LEADERLESS_MS = 500;
 
     private final Loops loops;
@@ -151,7 +151,7 @@
     private void attempt(Question question) {
         long nowMs = clock.nowMs();
         long leftMs = question.deadlineMs - nowMs;
-        boolean isHopeless = !question.perhapsTaken && isSeeking && nowMs - seekingSinceMs > LEADERLESS_MS;
+        boolean isHopeless = isSeeking && nowMs - seekingSinceMs > LEADERLESS_MS;
         if (isHopeless && question.hasTried) {
             question.giveUp();
             return;
--- /dev/null
+++ b/graph/src/test/java/org/lovagegrade/graph/machine/GraphMachineTest.java
@@ -0,0 +1,312 @@
+package org.lovagegrade.graph.machine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagegrade.wire.proto.CallerOutcomeProto;
+import org.lovagegrade.wire.proto.EndProto;
+import org.lovagegrade.wire.proto.EndsProto;
+import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphProto;
+import org.lovagegrade.wire.proto.GraphReplyProto;
+import org.lovagegrade.wire.proto.GraphStateProto;
+import org.lovagegrade.wire.proto.PoolProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.ResourcesProto;
+import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.StartProto;
+import org.lovagegrade.wire.proto.StartsProto;
+import org.lovagegrade.wire.proto.StepProto;
+import org.lovagegrade.wire.proto.WorkerProto;
+
+final class GraphMachineTest {
+    private static final long KEEP_MS = 10_000;
+    private static final int MAX_ATTEMPTS = 2;
+
+    private final GraphMachine machine = GraphMachine.keepingEndedFor(KEEP_MS);
+    private long nowMs = 1_000;
+
+    @BeforeEach
+    void installDesiredState() {
+        configure(5, "five");
+        worker("w1", 1);
+        worker("w2", 1);
+    }
+
+    private GraphReplyProto apply(GraphCommandProto.Builder command) {
+        return machine.apply(command.setAtMs(nowMs).build());
+    }
+
+    private GraphReplyProto configure(long version, String source) {
+        return apply(GraphCommandProto.newBuilder()
+                .setConfigure(FleetDocumentProto.newBuilder()
+                        .setVersion(version)
+                        .setSource(ByteString.copyFromUtf8(source))
+                        .addPools(PoolProto.newBuilder().setName("pool"))
+                        .addQueues(QueueProto.newBuilder()
+                                .setName("queue")
+                                .setPool("pool")
+                                .setMaxAttempts(MAX_ATTEMPTS))));
+    }
+
+    private void worker(String id, long bornMs) {
+        apply(GraphCommandProto.newBuilder()
+                .setWorker(WorkerProto.newBuilder()
+                        .setId(id)
+                        .setBornMs(bornMs)
+                        .setAddress(id + ":1")
+                        .setPool("pool")));
+    }
+
+    private static StepProto step(int count, boolean gang, int... after) {
+        StepProto.Builder step = StepProto.newBuilder()
+                .setCount(count)
+                .setGang(gang)
+                .setPerTask(ResourcesProto.newBuilder().setMilliCores(1_000));
+        for (int earlier : after) {
+            step.addAfter(earlier);
+        }
+        return step.build();
+    }
+
+    private void submit(String id, StepProto... steps) {
+        GraphProto.Builder graph =
+                GraphProto.newBuilder().setId(id).setQueue("queue").setWorkspace("team");
+        for (StepProto step : steps) {
+            graph.addSteps(step);
+        }
+        apply(GraphCommandProto.newBuilder().setSubmit(graph));
+    }
+
+    private static StartProto startOf(String job, int step, int index, int run, String worker) {
+        return StartProto.newBuilder()
+                .setTask(new TaskKey(job, 0, step, index).toProto())
+                .setRun(run)
+                .setWorker(worker)
+                .setBornMs(1)
+                .build();
+    }
+
+    private void start(StartProto... starts) {
+        StartsProto.Builder all = StartsProto.newBuilder();
+        for (StartProto start : starts) {
+            all.addStarts(start);
+        }
+        apply(GraphCommandProto.newBuilder().setStart(all));
+    }
+
+    private void end(String worker, long cursor, String job, int step, int index, int run, RunEndProto how) {
+        apply(GraphCommandProto.newBuilder()
+                .setEnd(EndsProto.newBuilder()
+                        .setWorker(worker)
+                        .setBornMs(1)
+                        .setCursor(cursor)
+                        .addEnds(EndProto.newBuilder()
+                                .setTask(new TaskKey(job, 0, step, index).toProto())
+                                .setRun(run)
+                                .setHow(how)
+                                .setCheckpoint("saved" + run))));
+    }
+
+    private GraphStateProto stateOf(String job) {
+        return machine.job(job).orElseThrow().state();
+    }
+
+    private TaskRecord task(String job, int step, int index) {
+        return machine.job(job).orElseThrow().step(0, step).tasks().get(index);
+    }
+
+    @Nested
+    final class DesiredState {
+        @Test
+        void shouldAcknowledgeAResendOfTheVersionInForce() {
+            assertThat(configure(5, "five").getDocument().getAccepted()).isTrue();
+        }
+
+        @Test
+        void shouldRefuseOtherContentUnderTheVersionInForce() {
+            assertThat(configure(5, "other").getDocument().getAccepted()).isFalse();
+            assertThat(machine.document().orElseThrow().proto().getSource().toStringUtf8())
+                    .isEqualTo("five");
+        }
+
+        @Test
+        void shouldAcknowledgeAnOlderVersionAndKeepTheNewer() {
+            assertThat(configure(4, "four").getDocument().getAccepted()).isTrue();
+            assertThat(machine.document().orElseThrow().proto().getVersion()).isEqualTo(5);
+        }
+    }
+
+    @Nested
+    final class Jobs {
+        @Test
+        void shouldKeepOneJobWhenItIsHandedInTwice() {
+            submit("a", step(1, false));
+            start(startOf("a", 0, 0, 1, "w1"));
+
+            submit("a", step(1, false));
+
+            assertThat(task("a", 0, 0).runs()).isTrue();
+            assertThat(machine.active()).hasSize(1);
+        }
+
+        @Test
+        void shouldCompleteOnlyWhenAllStepsAreDone() {
+            submit("a", step(1, false), step(1, false, 0));
+            start(startOf("a", 0, 0, 1, "w1"));
+            assertThat(machine.job("a").orElseThrow().step(0, 1).isReady()).isFalse();
+
+            end("w1", 1, "a", 0, 0, 1, RunEndProto.RUN_DONE);
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_RUNNING);
+            assertThat(machine.job("a").orElseThrow().step(0, 1).isReady()).isTrue();
+            start(startOf("a", 1, 0, 1, "w2"));
+            end("w2", 1, "a", 1, 0, 1, RunEndProto.RUN_DONE);
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+        }
+
+        @Test
+        void shouldFailOnceATaskHasUsedItsAttempts() {
+            submit("a", step(1, false));
+            for (int run = 1; run <= MAX_ATTEMPTS; run++) {
+                assertThat(stateOf("a")).isNotEqualTo(GraphStateProto.GRAPH_FAILED);
+                start(startOf("a", 0, 0, run, "w1"));
+                end("w1", run, "a", 0, 0, run, RunEndProto.RUN_FAILED);
+            }
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_FAILED);
+        }
+
+        @Test
+        void shouldNotCountLostRunsAsFailures() {
+            submit("a", step(1, false));
+            for (int run = 1; run <= MAX_ATTEMPTS + 1; run++) {
+                start(startOf("a", 0, 0, run, "w1"));
+                end("w1", run, "a", 0, 0, run, RunEndProto.RUN_LOST);
+            }
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_RUNNING);
+            assertThat(task("a", 0, 0).checkpoint()).isEqualTo("saved3");
+        }
+
+        @Test
+        void shouldForgetEndedJobsAfterAWhile() {
+            submit("a", step(1, false));
+            apply(GraphCommandProto.newBuilder().setCancel("a"));
+            nowMs += KEEP_MS + 1;
+            submit("b", step(1, false));
+
+            assertThat(machine.job("a")).isEmpty();
+            assertThat(apply(GraphCommandProto.newBuilder().setCancel("a"))
+                            .getCaller()
+                            .getOutcome())
+                    .isEqualTo(CallerOutcomeProto.CALLER_GONE);
+        }
+    }
+
+    @Nested
+    final class Gangs {
+        @Test
+        void shouldBeDoneWhenOneMemberIsDone() {
+            submit("a", step(2, true));
+            start(startOf("a", 0, 0, 1, "w1"), startOf("a", 0, 1, 1, "w2"));
+
+            end("w1", 1, "a", 0, 0, 1, RunEndProto.RUN_DONE);
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+        }
+
+        @Test
+        void shouldStayDoneWhenTheWorkerOfAnotherMemberIsLostLater() {
+            submit("a", step(2, true), step(1, false, 0));
+            start(startOf("a", 0, 0, 1, "w1"), startOf("a", 0, 1, 1, "w2"));
+            end("w1", 1, "a", 0, 0, 1, RunEndProto.RUN_DONE);
+
+            worker("w2", 2);
+
+            assertThat(task("a", 0, 1).isDone()).isTrue();
+            assertThat(machine.runs()).isEmpty();
+        }
+
+        @Test
+        void shouldStartWholeOrNotAtAll() {
+            submit("a", step(2, true));
+
+            start(startOf("a", 0, 0, 1, "w1"), startOf("a", 0, 1, 1, "unknown"));
+
+            assertThat(machine.runs()).isEmpty();
+            assertThat(task("a", 0, 0).waits()).isTrue();
+        }
+
+        @Test
+        void shouldCountOneFailureForARunWhateverItsMembersTell() {
+            submit("a", step(2, true));
+            start(startOf("a", 0, 0, 1, "w1"), startOf("a", 0, 1, 1, "w2"));
+            end("w1", 1, "a", 0, 0, 1, RunEndProto.RUN_FAILED);
+            end("w2", 1, "a", 0, 1, 1, RunEndProto.RUN_FAILED);
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_RUNNING);
+        }
+    }
+
+    @Nested
+    final class Workers {
+        @Test
+        void shouldLoseTheRunsOfAnEarlierLife() {
+            submit("a", step(1, false));
+            start(startOf("a", 0, 0, 1, "w1"));
+
+            worker("w1", 2);
+
+            assertThat(task("a", 0, 0).waits()).isTrue();
+            assertThat(machine.workers().get("w1").used()).isEqualTo(Room.NONE);
+        }
+
+        @Test
+        void shouldRefuseAStartOnADrainingWorker() {
+            submit("a", step(1, false));
+            apply(GraphCommandProto.newBuilder()
+                    .setWorker(WorkerProto.newBuilder()
+                            .setId("w1")
+                            .setBornMs(1)
+                            .setAddress("w1:1")
+                            .setDraining(true)));
+
+            start(startOf("a", 0, 0, 1, "w1"));
+
+            assertThat(machine.runs()).isEmpty();
+        }
+
+        @Test
+        void shouldIgnoreEndsOfAnotherLife() {
+            submit("a", step(1, false));
+            worker("w1", 2);
+            start(startOf("a", 0, 0, 1, "w2"));
+
+            end("w1", 9, "a", 0, 0, 1, RunEndProto.RUN_DONE);
+
+            assertThat(task("a", 0, 0).runs()).isTrue();
+            assertThat(machine.workers().get("w1").cursor()).isEqualTo(0);
+        }
+    }
+
+    @Nested
+    final class Snapshots {
+        @Test
+        void shouldRestoreJobsRunsWorkersAndUse() {
+            submit("a", step(2, false), step(1, false, 0));
+            start(startOf("a", 0, 0, 1, "w1"), startOf("a", 0, 1, 1, "w2"));
+            end("w1", 3, "a", 0, 0, 1, RunEndProto.RUN_DONE);
+
+            GraphMachine restored = GraphMachine.keepingEndedFor(KEEP_MS);
+            restored.restore(machine.snapshot());
+
+            assertThat(restored.snapshot()).isEqualTo(machine.snapshot());
+            assertThat(restored.runs().keySet()).isEqualTo(machine.runs().keySet());
+            assertThat(restored.usedBy("team")).isEqualTo(machine.usedBy("team"));
+            assertThat(restored.workers().get("w1").cursor()).isEqualTo(3);
+        }
+    }
+}
--- /dev/null
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -0,0 +1,250 @@
+package org.lovagegrade.graph.planning;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagegrade.graph.advice.Verdict;
+import org.lovagegrade.graph.machine.GraphMachine;
+import org.lovagegrade.graph.machine.Room;
+import org.lovagegrade.graph.machine.StepRecord;
+import org.lovagegrade.wire.proto.AdviceCostProto;
+import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.ResourcesProto;
+import org.lovagegrade.wire.proto.StepProto;
+import org.lovagegrade.wire.proto.WorkerProto;
+
+final class PlannerTest {
+    private static final String POOL = "pool";
+
+    private final GraphMachine machine = GraphMachine.keepingEndedFor(1_000);
+    private final List<WorkerSlot> workers = new ArrayList<>();
+    private final QuotaBook quotas = new QuotaBook();
+    private final Tickets tickets = new Tickets();
+
+    /** Verdicts that a test sets; unset ones are unknown. */
+    private static final class Tickets implements TicketBook {
+        private final Map<String, Verdict> verdicts = new HashMap<>();
+        private final Set<String> asking = new HashSet<>();
+
+        @Override
+        public Verdict verdict(String step, String worker) {
+            return verdicts.getOrDefault(step + "@" + worker, Verdict.UNKNOWN);
+        }
+
+        @Override
+        public boolean isAsking(String step) {
+            return asking.contains(step);
+        }
+    }
+
+    private void worker(String id, long freeMilliCores, String rack, String label) {
+        WorkerProto info = WorkerProto.newBuilder()
+                .setId(id)
+                .setPool(POOL)
+                .setRack(rack)
+                .addLabels(label)
+                .setCapacity(ResourcesProto.newBuilder().setMilliCores(16_000).setMemoryMb(64_000))
+                .build();
+        workers.add(new WorkerSlot(info, new Room(freeMilliCores, 64_000, 0)));
+    }
+
+    private StepDemand demand(String job, int priority, boolean advised, StepProto.Builder step) {
+        QueueProto.Builder queue =
+                QueueProto.newBuilder().setName("q" + priority).setPool(POOL).setPriority(priority);
+        if (advised) {
+            queue.setAdvice(AdviceCostProto.newBuilder()
+                    .setDecideMs(100)
+                    .setPerWorkerMs(1)
+                    .setValidMs(2_000));
+        }
+        machine.apply(GraphCommandProto.newBuilder()
+                .setConfigure(FleetDocumentProto.newBuilder().setVersion(1).setSource(ByteString.copyFromUtf8("x")))
+                .build());
+        machine.apply(GraphCommandProto.newBuilder()
+                .setSubmit(GraphProto.newBuilder()
+                        .setId(job)
+                        .setQueue("q" + priority)
+                        .setWorkspace("team")
+                        .addSteps(step))
+                .build());
+        StepRecord record = machine.job(job).orElseThrow().step(0, 0);
+        List<Integer> waiting =
+                IntStream.range(0, record.tasks().size()).boxed().toList();
+        return new StepDemand(record, queue.build(), waiting, 0);
+    }
+
+    private static StepProto.Builder step(int count, long milliCores) {
+        return StepProto.newBuilder()
+                .setCount(count)
+                .setPerTask(
+                        ResourcesProto.newBuilder().setMilliCores(milliCores).setMemoryMb(10));
+    }
+
+    private Plan plan(StepDemand... demands) {
+        return new Planner(workers, tickets, quotas).plan(List.of(demands));
+    }
+
+    private static List<String> workersOf(Plan plan) {
+        return plan.placements().stream()
+                .map(placement -> placement.worker().getId())
+                .toList();
+    }
+
+    @Nested
+    final class SingleTasks {
+        @Test
+        void shouldFillTheFullestWorkerThatHasRoom() {
+            worker("empty", 16_000, "r1", "a");
+            worker("half", 8_000, "r1", "a");
+            worker("full", 500, "r1", "a");
+
+            assertThat(workersOf(plan(demand("j", 0, false, step(1, 1_000))))).containsExactly("half");
+        }
+
+        @Test
+        void shouldStartAsManyAsThereIsRoomFor() {
+            worker("w", 2_500, "r1", "a");
+
+            assertThat(plan(demand("j", 0, false, step(5, 1_000))).placements()).hasSize(2);
+        }
+
+        @Test
+        void shouldKeepToTheRequiredLabel() {
+            worker("plain", 16_000, "r1", "a");
+            worker("special", 16_000, "r1", "b");
+
+            assertThat(workersOf(plan(demand("j", 0, false, step(1, 1_000).setRequiredLabel("b")))))
+                    .containsExactly("special");
+        }
+
+        @Test
+        void shouldSpreadTasksThatMustStayApart() {
+            worker("w1", 16_000, "r1", "a");
+            worker("w2", 16_000, "r1", "a");
+
+            Plan plan = plan(demand("j", 0, false, step(5, 1_000).setMostPerWorker(2)));
+
+            assertThat(workersOf(plan)).containsExactly("w1", "w1", "w2", "w2");
+        }
+
+        @Test
+        void shouldPreferTheRackOfTheData() {
+            worker("far", 2_000, "r1", "a");
+            worker("near", 16_000, "r2", "a");
+
+            assertThat(workersOf(plan(demand("j", 0, false, step(1, 1_000).setDataRack("r2")))))
+                    .containsExactly("near");
+        }
+    }
+
+    @Nested
+    final class Quotas {
+        @Test
+        void shouldStartNothingAboveTheLimitOfAWorkspace() {
+            worker("w", 16_000, "r1", "a");
+            quotas.add("team", new Room(2_500, 0, 0), new Room(1_000, 0, 0));
+
+            assertThat(plan(demand("j", 0, false, step(5, 1_000))).placements()).hasSize(1);
+        }
+
+        @Test
+        void shouldStartNoGangThatWouldGoAboveTheLimit() {
+            worker("w", 16_000, "r1", "a");
+            quotas.add("team", new Room(2_500, 0, 0), Room.NONE);
+
+            assertThat(plan(demand("j", 0, false, step(3, 1_000).setGang(true))).placements())
+                    .isEmpty();
+        }
+    }
+
+    @Nested
+    final class GangsWithLessUrgentWork {
+        @Test
+        void shouldPlaceAllMembersOrNone() {
+            worker("w1", 2_000, "r1", "a");
+            worker("w2", 1_000, "r1", "a");
+
+            assertThat(plan(demand("j", 1, false, step(4, 1_000).setGang(true))).placements())
+                    .isEmpty();
+            assertThat(plan(demand("k", 1, false, step(3, 1_000).setGang(true))).placements())
+                    .hasSize(3);
+        }
+
+        @Test
+        void shouldKeepWorkersForAWaitingGangFromQueuesBehindIt() {
+            worker("w1", 4_000, "r1", "a");
+
+            Plan plan = plan(
+                    demand("gang", 1, false, step(3, 4_000).setGang(true)), demand("small", 2, false, step(4, 1_000)));
+
+            assertThat(plan.placements()).isEmpty();
+        }
+
+        @Test
+        void shouldPreferOneRackForAGangThatIsSlowAcrossRacks() {
+            worker("a1", 4_000, "r1", "a");
+            worker("b1", 3_000, "r2", "a");
+            worker("b2", 3_000, "r2", "a");
+
+            Plan plan = plan(demand("j", 1, false, step(6, 1_000).setGang(true).setRackLocal(true)));
+
+            assertThat(workersOf(plan)).containsExactly("b1", "b1", "b1", "b2", "b2", "b2");
+        }
+    }
+
+    @Nested
+    final class TicketsOfTheAdviser {
+        @Test
+        void shouldAskBeforeAnythingIsKnown() {
+            worker("w1", 16_000, "r1", "a");
+
+            Plan plan = plan(demand("j", 0, true, step(1, 1_000)));
+
+            assertThat(plan.placements()).isEmpty();
+            assertThat(plan.wishes()).hasSize(1);
+            assertThat(plan.wishes().get(0).workers()).containsExactly("w1");
+        }
+
+        @Test
+        void shouldAskOnlyForWorkersWhoseTicketRanOut() {
+            worker("stale", 16_000, "r1", "a");
+            worker("denied", 16_000, "r1", "a");
+            tickets.verdicts.put("j.0.0@stale", Verdict.STALE);
+            tickets.verdicts.put("j.0.0@denied", Verdict.DENIED);
+
+            Plan plan = plan(demand("j", 0, true, step(1, 1_000)));
+
+            assertThat(plan.wishes().get(0).workers()).containsExactly("stale");
+        }
+
+        @Test
+        void shouldNotAskTwiceAtOnce() {
+            worker("w1", 16_000, "r1", "a");
+            tickets.asking.add("j.0.0");
+
+            assertThat(plan(demand("j", 0, true, step(1, 1_000))).wishes()).isEmpty();
+        }
+
+        @Test
+        void shouldKeepTheRoomOfAStepThatOnlyWaitsForItsTicket() {
+            worker("w1", 1_000, "r1", "a");
+            tickets.verdicts.put("first.0.0@w1", Verdict.STALE);
+
+            Plan plan = plan(demand("first", 0, true, step(1, 1_000)), demand("second", 2, false, step(1, 1_000)));
+
+            assertThat(plan.placements()).isEmpty();
+        }
+    }
+}
