Workers that fail or stall what they run get a rest, and tasks go elsewhere

Cause: attempts of a job are counted wherever they fail, so a worker that fails everything uses them up; a run that stands still holds its room for ever. Change: two jobs failing in a row on a worker, or a run without progress, set the worker aside for 2 s, then one run at a time; a task avoids where it failed.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -45,15 +45,19 @@
     /** A plan is made at least this often, for tasks that become due and tickets that run out. */
     private static final long IDLE_PLAN_INTERVAL_MS = 200;
 
+    private static final long STALL_CHECK_INTERVAL_MS = 250;
+
     private final GraphMachine machine;
     private final WorkerDriver driver;
     private final Proposals proposals;
     private final Clock clock;
     private final Clock wallClock;
     private final AdviceBoard advice = new AdviceBoard();
+    private final WorkerHealth health = new WorkerHealth();
     private final Map<RunKey, Placement> planned = new HashMap<>();
     private boolean dirty = true;
     private long nextPlanMs;
+    private long nextStallCheckMs;
     private long idlePlanMs;
 
     GraphLeader(GraphMachine machine, WorkerDriver driver, Proposals proposals, Clock clock, Clock wallClock) {
@@ -72,6 +76,10 @@
 
     void tick(long nowMs) {
         driver.tick(nowMs);
+        if (nowMs >= nextStallCheckMs) {
+            nextStallCheckMs = nowMs + STALL_CHECK_INTERVAL_MS;
+            stopStalled(nowMs);
+        }
         advice.tick(nowMs);
         boolean isDue = (dirty && nowMs >= nextPlanMs) || nowMs >= idlePlanMs;
         if (isDue) {
@@ -79,6 +87,19 @@
         }
     }
 
+    /** Runs that make no progress are stopped, and go on elsewhere from their last checkpoint. */
+    private void stopStalled(long nowMs) {
+        for (RunRecord run : driver.stalled()) {
+            Log.event("runStalled")
+                    .with("run", run.key().toString())
+                    .with("worker", run.worker())
+                    .warn();
+            health.stalled(run.worker(), run.key().task(), nowMs);
+            driver.unwanted(run, nowMs);
+            dirty = true;
+        }
+    }
+
     // --- requests
 
     void worker(WorkerProto said, Runnable known, Consumer<GraphCommandProto.Builder> propose) {
@@ -157,6 +178,11 @@
     public void ended(RunRecord run, RunEndProto how) {
         driver.ended(run);
         dirty = true;
+        if (how == RunEndProto.RUN_DONE) {
+            health.completed(run.worker());
+        } else if (how == RunEndProto.RUN_FAILED) {
+            health.failed(run.worker(), run.key().task(), clock.nowMs());
+        }
         if (how == RunEndProto.RUN_REFUSED) {
             advice.refused(run.step().name(), run.worker());
         }
@@ -196,6 +222,7 @@
     public void over(JobRecord job) {
         dirty = true;
         job.occurrences().forEach(steps -> steps.forEach(step -> advice.forgetStep(step.name())));
+        health.forgetJob(job.id());
         Log.event("jobOver")
                 .with("job", job.id())
                 .with("state", job.state().name())
@@ -214,6 +241,7 @@
         dirty = true;
         driver.workerGone(worker);
         advice.forgetWorker(worker.info().getId());
+        health.forgetWorker(worker.info().getId());
     }
 
     @Override
@@ -311,7 +339,9 @@
                 waiting.add(index);
             }
         }
-        return waiting.isEmpty() ? Optional.empty() : Optional.of(new StepDemand(step, queue, waiting, dueAtMs));
+        return waiting.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new StepDemand(step, queue, waiting, dueAtMs, index -> health.failedAt(step.key(index))));
     }
 
     private static int nextRun(StepRecord step, int index) {
@@ -324,7 +354,8 @@
         Map<String, WorkerSlot> slots = new HashMap<>();
         List<WorkerSlot> usable = new ArrayList<>();
         for (WorkerSession session : driver.sessions()) {
-            if (session.isUsable(nowMs)) {
+            boolean isWell = health.mayTake(session.id(), session.record.runs().size(), nowMs);
+            if (isWell && session.isUsable(nowMs)) {
                 Room capacity = Room.of(session.info().getCapacity());
                 WorkerSlot slot = new WorkerSlot(session.info(), capacity.minus(session.record.used()));
                 for (RunRecord run : session.record.runs().values()) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunOrder.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunOrder.java
@@ -20,7 +20,6 @@
 
     final RunRecord run;
     final String ticket;
-    final long createdAtMs;
     Phase phase;
     boolean inFlight;
     boolean inDoubt;
@@ -31,14 +30,25 @@
     /** The latest checkpoint that the worker listed. */
     String checkpoint = "";
 
-    int percent;
-    long percentSinceMs;
+    /** For how long listings have shown the same progress, in milliseconds. */
+    long listedStillMs;
+
+    private int percent = -1;
+    private long percentSinceMs;
 
     RunOrder(RunRecord run, String ticket, Phase phase, long nowMs) {
         this.run = run;
         this.ticket = ticket;
         this.phase = phase;
-        this.createdAtMs = nowMs;
         this.percentSinceMs = nowMs;
     }
+
+    /** Takes note of the progress in a listing. */
+    void listed(int listedPercent, long nowMs) {
+        if (listedPercent != percent) {
+            percent = listedPercent;
+            percentSinceMs = nowMs;
+        }
+        listedStillMs = nowMs - percentSinceMs;
+    }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -50,6 +50,10 @@
     private static final long STOP_AGAIN_MS = 1_000;
     /** How long a worker that reports to be unwell, or refuses what should fit, gets no starts. */
     private static final long UNWELL_MS = 1_000;
+    /** Two listings apart at least, so that one late listing is no stall. */
+    private static final long LEAST_STALL_MS = 2_800;
+    /** Estimates are often far too low or too high. */
+    private static final long STALL_SHARE_OF_ESTIMATE = 5;
     /** An order without an answer may arrive this much later. */
     private static final long LATE_ORDER_MS = 15_000;
     /** A worker that is silent for this long after its lease has passed is forgotten. */
@@ -110,6 +114,32 @@
         return Optional.ofNullable(sessions.get(worker));
     }
 
+    /**
+     * Finds runs that make no progress although their worker answers.
+     *
+     * @return the runs, none that are being stopped already
+     */
+    List<RunRecord> stalled() {
+        List<RunRecord> stalled = new ArrayList<>();
+        for (WorkerSession session : sessions.values()) {
+            for (RunOrder order : session.orders.values()) {
+                boolean mayStall = order.phase == RunOrder.Phase.CONFIRMED
+                        && !order.stopWanted
+                        && !session.unanswered
+                        && !order.run.step().spec().getLasting();
+                if (mayStall && order.listedStillMs >= stallMs(order.run)) {
+                    stalled.add(order.run);
+                }
+            }
+        }
+        return stalled;
+    }
+
+    /** A run that moves at all moves by one percent in this time, even on a slow worker. */
+    private static long stallMs(RunRecord run) {
+        return Math.max(LEAST_STALL_MS, run.step().spec().getEstimateMs() / STALL_SHARE_OF_ESTIMATE);
+    }
+
     // --- what the log says
 
     void workerChanged(WorkerRecord record, long nowMs) {
@@ -497,10 +527,7 @@
         if (!view.checkpoint().isEmpty()) {
             order.checkpoint = view.checkpoint();
         }
-        if (view.percent() != order.percent) {
-            order.percent = view.percent();
-            order.percentSinceMs = nowMs;
-        }
+        order.listed(view.percent(), nowMs);
         boolean isUncertain = order.phase == RunOrder.Phase.STARTING || order.phase == RunOrder.Phase.VERIFYING;
         if (isUncertain && !order.inFlight) {
             order.phase = RunOrder.Phase.CONFIRMED;
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerHealth.java
@@ -0,0 +1,84 @@
+package org.lovagegrade.graph.leader;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.lovagegrade.graph.machine.TaskKey;
+import org.lovagegrade.kernel.logging.Log;
+
+/**
+ * Finds workers that fail or stall what they run, from outcomes: a worker on which tasks of several jobs fail in a row,
+ * or on which a run makes no progress, gets no starts for a while, and then only one at a time until something completes.
+ * A task that failed or stalled somewhere goes elsewhere while there is an elsewhere.
+ */
+final class WorkerHealth {
+    /** Tasks of this many jobs must fail in a row, so that a job that fails everywhere accuses nobody. */
+    private static final int JOBS_FAILED_IN_A_ROW = 2;
+    /** How long a suspect gets nothing. */
+    private static final long REST_MS = 2_000;
+    /** How long the pause may grow when probes fail as well. */
+    private static final long LONGEST_REST_MS = 8_000;
+
+    private final Map<String, Suspicion> byWorker = new HashMap<>();
+    private final Map<TaskKey, Set<String>> failedAt = new HashMap<>();
+
+    /** What speaks against a worker. */
+    private static final class Suspicion {
+        private final Set<String> failedJobs = new HashSet<>();
+        private long restMs = REST_MS;
+        private long restUntilMs;
+        private boolean isSuspect;
+    }
+
+    void completed(String worker) {
+        byWorker.remove(worker);
+    }
+
+    void failed(String worker, TaskKey task, long nowMs) {
+        failedAt.computeIfAbsent(task, _task -> new HashSet<>()).add(worker);
+        Suspicion suspicion = byWorker.computeIfAbsent(worker, _worker -> new Suspicion());
+        suspicion.failedJobs.add(task.job());
+        if (suspicion.isSuspect || suspicion.failedJobs.size() >= JOBS_FAILED_IN_A_ROW) {
+            rest(worker, suspicion, "failures", nowMs);
+        }
+    }
+
+    void stalled(String worker, TaskKey task, long nowMs) {
+        failedAt.computeIfAbsent(task, _task -> new HashSet<>()).add(worker);
+        rest(worker, byWorker.computeIfAbsent(worker, _worker -> new Suspicion()), "stalledRun", nowMs);
+    }
+
+    private static void rest(String worker, Suspicion suspicion, String reason, long nowMs) {
+        if (suspicion.isSuspect && nowMs < suspicion.restUntilMs) {
+            return;
+        }
+        suspicion.restMs = suspicion.isSuspect ? Math.min(LONGEST_REST_MS, suspicion.restMs * 2) : REST_MS;
+        suspicion.isSuspect = true;
+        suspicion.restUntilMs = nowMs + suspicion.restMs;
+        Log.event("workerSuspected")
+                .with("worker", worker)
+                .with("reason", reason)
+                .with("restMs", suspicion.restMs)
+                .warn();
+    }
+
+    /** Whether a worker with a number of runs may get another. */
+    boolean mayTake(String worker, int runs, long nowMs) {
+        Suspicion suspicion = byWorker.get(worker);
+        return suspicion == null || !suspicion.isSuspect || (nowMs >= suspicion.restUntilMs && runs == 0);
+    }
+
+    /** Where a task has failed or stalled. */
+    Set<String> failedAt(TaskKey task) {
+        return failedAt.getOrDefault(task, Set.of());
+    }
+
+    void forgetWorker(String worker) {
+        byWorker.remove(worker);
+    }
+
+    void forgetJob(String job) {
+        failedAt.keySet().removeIf(task -> task.job().equals(job));
+    }
+}
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.Room;
 import org.lovagegrade.graph.machine.StepRecord;
@@ -76,7 +77,7 @@
             if (!quotas.allows(workspace(demand), need)) {
                 break;
             }
-            Optional<WorkerSlot> chosen = best(demand, candidates.good);
+            Optional<WorkerSlot> chosen = best(demand, index, candidates.good);
             if (chosen.isEmpty()) {
                 missing = demand.waiting().size() - demand.waiting().indexOf(index);
                 break;
@@ -88,11 +89,13 @@
         }
     }
 
-    private Optional<WorkerSlot> best(StepDemand demand, List<WorkerSlot> from) {
+    private static Optional<WorkerSlot> best(StepDemand demand, int index, List<WorkerSlot> from) {
         Room need = demand.step().perTask();
+        Set<String> avoided = demand.avoided().apply(index);
         return from.stream()
                 .filter(worker -> fits(demand, worker, need))
-                .min(Comparator.<WorkerSlot>comparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
+                .min(Comparator.<WorkerSlot>comparingInt(worker -> avoided.contains(worker.id()) ? 1 : 0)
+                        .thenComparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
                         .thenComparingLong(worker -> worker.free().milliCores()));
     }
 
@@ -153,7 +156,8 @@
         Room need = demand.step().perTask();
         List<WorkerSlot> byRoom = from.stream()
                 .filter(worker -> fits(demand, worker, need))
-                .sorted(Comparator.<WorkerSlot>comparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
+                .sorted(Comparator.<WorkerSlot>comparingInt(worker -> isAvoidedByGang(demand, worker) ? 1 : 0)
+                        .thenComparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
                         .thenComparingLong(worker -> -worker.free().milliCores()))
                 .toList();
         List<WorkerSlot> chosen = new ArrayList<>();
@@ -166,6 +170,11 @@
         return chosen;
     }
 
+    private static boolean isAvoidedByGang(StepDemand demand, WorkerSlot worker) {
+        return demand.waiting().stream()
+                .anyMatch(index -> demand.avoided().apply(index).contains(worker.id()));
+    }
+
     private static int mostOn(StepDemand demand, WorkerSlot worker) {
         int most = demand.step().spec().getMostPerWorker();
         return most <= 0
--- a/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
@@ -1,6 +1,8 @@
 package org.lovagegrade.graph.planning;
 
 import java.util.List;
+import java.util.Set;
+import java.util.function.IntFunction;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.wire.proto.QueueProto;
 
@@ -11,8 +13,10 @@
  * @param queue its queue
  * @param waiting the numbers of the tasks that wait and are not being started
  * @param sinceMs since when the step's job is due, on the time of day in milliseconds
+ * @param avoided gives the workers that a task should keep away from, if others have room
  */
-public record StepDemand(StepRecord step, QueueProto queue, List<Integer> waiting, long sinceMs) {
+public record StepDemand(
+        StepRecord step, QueueProto queue, List<Integer> waiting, long sinceMs, IntFunction<Set<String>> avoided) {
     boolean needsTicket() {
         return queue.hasAdvice();
     }
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -32,6 +32,7 @@
     private final List<WorkerSlot> workers = new ArrayList<>();
     private final QuotaBook quotas = new QuotaBook();
     private final Tickets tickets = new Tickets();
+    private Set<String> avoided = Set.of();
 
     /** Verdicts that a test sets; unset ones are unknown. */
     private static final class Tickets implements TicketBook {
@@ -82,7 +83,7 @@
         StepRecord record = machine.job(job).orElseThrow().step(0, 0);
         List<Integer> waiting =
                 IntStream.range(0, record.tasks().size()).boxed().toList();
-        return new StepDemand(record, queue.build(), waiting, 0);
+        return new StepDemand(record, queue.build(), waiting, 0, _index -> avoided);
     }
 
     private static StepProto.Builder step(int count, long milliCores) {
@@ -139,6 +140,17 @@
             assertThat(workersOf(plan)).containsExactly("w1", "w1", "w2", "w2");
         }
 
+        @Test
+        void shouldGoElsewhereAfterAFailureButNotWaitForIt() {
+            worker("failed", 1_000, "r1", "a");
+            worker("other", 16_000, "r1", "a");
+            avoided = Set.of("failed");
+
+            assertThat(workersOf(plan(demand("j", 0, false, step(1, 1_000))))).containsExactly("other");
+            avoided = Set.of("failed", "other");
+            assertThat(workersOf(plan(demand("k", 0, false, step(1, 1_000))))).containsExactly("failed");
+        }
+
         @Test
         void shouldPreferTheRackOfTheData() {
             worker("far", 2_000, "r1", "a");
