--- a/kernel/src/main/java/org/lovagegrade/kernel/Program.java
+++ b/kernel/src/main/java/org/lovagegrade/kernel/Program.java
@@ -103,6 +103,7 @@
                         () -> {
                             kernel.stop();
                             Log.event("stopped").with("program", name).info();
+                            Log.flush();
                             stopped.countDown();
                         },
                         "shutdown"));
@@ -119,6 +120,7 @@
                     .with("thread", thread.getName())
                     .with("error", error.toString())
                     .error();
+            Log.flush();
             error.printStackTrace();
             Runtime.getRuntime().halt(EXIT_BROKEN);
         });
--- a/kernel/src/main/java/org/lovagegrade/kernel/logging/Log.java
+++ b/kernel/src/main/java/org/lovagegrade/kernel/logging/Log.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -13,6 +14,7 @@
  */
 public final class Log {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final LogWriter WRITER = new LogWriter();
 
     private final Map<String, Object> fields = new LinkedHashMap<>();
 
@@ -42,21 +44,31 @@
         return this;
     }
 
-    /** Writes the line at level info. */
+    /** Writes the line at level info, soon and without blocking; it is left out and counted if too many wait. */
     public void info() {
-        Logger.info((Object) render("info"));
+        write("info", Logger::info);
     }
 
-    /** Writes the line at level warn. */
+    /** Writes the line at level warn, as {@link #info()} does. */
     public void warn() {
-        Logger.warn((Object) render("warn"));
+        write("warn", Logger::warn);
     }
 
-    /** Writes the line at level error. */
+    /** Writes the line at level error before this returns, for a process that is about to end. */
     public void error() {
         Logger.error((Object) render("error"));
     }
 
+    /** Writes what waits; to be called before the process ends. */
+    public static void flush() {
+        WRITER.flush();
+    }
+
+    private void write(String level, Consumer<Object> logger) {
+        String line = render(level);
+        WRITER.write(() -> logger.accept(line));
+    }
+
     private String render(String level) {
         Map<String, Object> line = new LinkedHashMap<>();
         line.put("atMs", System.currentTimeMillis());
