The voters stay an odd number; another replica follows as a learner until it is needed

With three voters and a learner one half goes on. Tolerates the same single loss. Test: MembershipChangeTest.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -20,6 +21,7 @@
 import org.lovagegrade.wire.proto.GraphRequestProto;
 import org.lovagegrade.wire.proto.GraphStatusProto;
 import org.lovagegrade.wire.proto.LogEntryProto;
+import org.lovagegrade.wire.proto.MembershipProto;
 
 /** Job graphs, replicated; the leader plans their tasks and drives the workers. */
 public final class GraphApplication implements ReplicatedApplication {
@@ -171,8 +173,10 @@
         boolean isLeaderKnown = leader != null && !leadership.leader().isEmpty();
         if (isLeaderKnown) {
             reply.setLeader(ReplicaId.parse(leadership.leader()).name());
-            List<String> voters = leadership.membership().getVotersList();
-            voters.forEach(voter -> reply.addReplicas(ReplicaId.parse(voter).name()));
+            MembershipProto members = leadership.membership();
+            List<String> ids = new ArrayList<>(members.getVotersList());
+            ids.addAll(members.getLearnersList());
+            ids.forEach(id -> reply.addReplicas(ReplicaId.parse(id).name()));
         }
         return EnvelopeProto.newBuilder().setGraphReply(reply).build();
     }
--- a/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
@@ -803,7 +803,8 @@
             return;
         }
         for (String joiner : joiners.keySet()) {
-            Optional<MembershipProto> next = MembershipChange.next(membership(), joiner, isCaughtUp(joiner));
+            Optional<MembershipProto> next =
+                    MembershipChange.next(membership(), joiner, isCaughtUp(joiner), isAnotherReady(joiner));
             if (next.isPresent()) {
                 appendAsLeader(LogEntryProto.newBuilder().setMembership(next.get()));
                 syncPeers(nowMs);
@@ -813,6 +814,12 @@
         }
     }
 
+    private boolean isAnotherReady(String joiner) {
+        return joiners.keySet().stream()
+                .filter(other -> !other.equals(joiner) && !isVoter(other))
+                .anyMatch(this::isCaughtUp);
+    }
+
     private boolean isCaughtUp(String joiner) {
         PeerProgress progress = peers.get(joiner);
         return progress != null && progress.matchIndex + CAUGHT_UP_ENTRIES >= storage.lastIndex();
--- /dev/null
+++ b/state/src/test/java/org/lovagegrade/state/consensus/internal/MembershipChangeTest.java
@@ -0,0 +1,52 @@
+package org.lovagegrade.state.consensus.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagegrade.wire.proto.MembershipProto;
+
+final class MembershipChangeTest {
+    private static MembershipProto membership(List<String> voters, String... learners) {
+        return MembershipProto.newBuilder()
+                .addAllVoters(voters)
+                .addAllLearners(List.of(learners))
+                .build();
+    }
+
+    @Nested
+    final class OddNumbersOfVoters {
+        private final List<String> three = List.of("a#1", "b#1", "c#1");
+
+        @Test
+        void shouldKeepAFourthReplicaAsLearner() {
+            assertThat(MembershipChange.next(membership(three, "d#1"), "d#1", true, false))
+                    .isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void shouldGiveTwoReplicasTheirVoteOneAfterTheOther() {
+            MembershipProto four = MembershipChange.next(membership(three, "d#1", "e#1"), "d#1", true, true)
+                    .orElseThrow();
+            assertThat(four.getVotersCount()).isEqualTo(4);
+
+            MembershipProto five =
+                    MembershipChange.next(four, "e#1", true, false).orElseThrow();
+            assertThat(five.getVotersCount()).isEqualTo(5);
+        }
+
+        @Test
+        void shouldReplaceALostIdentityByWhoeverIsReady() {
+            MembershipProto two = MembershipChange.next(membership(three, "c#2", "d#1"), "c#2", true, true)
+                    .orElseThrow();
+            assertThat(two.getVotersList()).containsExactly("a#1", "b#1");
+
+            MembershipProto again =
+                    MembershipChange.next(two, "d#1", true, true).orElseThrow();
+            assertThat(again.getVotersList()).containsExactly("a#1", "b#1", "d#1");
+            assertThat(MembershipChange.next(again, "c#2", true, false)).isEqualTo(Optional.empty());
+        }
+    }
+}
