--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -24,6 +24,7 @@
 import org.lovagegrade.graph.planning.QuotaBook;
 import org.lovagegrade.graph.planning.StepDemand;
 import org.lovagegrade.graph.planning.TicketBook;
+import org.lovagegrade.graph.planning.Urgency;
 import org.lovagegrade.graph.planning.WorkerSlot;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.logging.Log;
@@ -316,19 +317,21 @@
             for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
                 long dueAtMs = job.dueAtMs(occurrence);
                 if (dueAtMs <= wallMs || job.graph().getOccurrences() == 0) {
+                    Urgency urgency = Urgency.of(job, occurrence, queue.get(), dueAtMs, wallMs);
                     for (StepRecord step : job.occurrences().get(occurrence)) {
-                        demandOf(step, queue.get(), dueAtMs).ifPresent(demands::add);
+                        demandOf(step, queue.get(), urgency, dueAtMs).ifPresent(demands::add);
                     }
                 }
             }
         }
         demands.sort(
                 Comparator.<StepDemand>comparingInt(demand -> demand.queue().getPriority())
+                        .thenComparing(StepDemand::urgency)
                         .thenComparingLong(StepDemand::sinceMs));
         return demands;
     }
 
-    private Optional<StepDemand> demandOf(StepRecord step, QueueProto queue, long dueAtMs) {
+    private Optional<StepDemand> demandOf(StepRecord step, QueueProto queue, Urgency urgency, long dueAtMs) {
         if (step.isDone() || step.waiting() == 0 || !step.isReady()) {
             return Optional.empty();
         }
@@ -341,7 +344,8 @@
         }
         return waiting.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new StepDemand(step, queue, waiting, dueAtMs, index -> health.failedAt(step.key(index))));
+                : Optional.of(new StepDemand(
+                        step, queue, waiting, urgency, dueAtMs, index -> health.failedAt(step.key(index))));
     }
 
     private static int nextRun(StepRecord step, int index) {
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -83,7 +83,7 @@
         StepRecord record = machine.job(job).orElseThrow().step(0, 0);
         List<Integer> waiting =
                 IntStream.range(0, record.tasks().size()).boxed().toList();
-        return new StepDemand(record, queue.build(), waiting, 0, _index -> avoided);
+        return new StepDemand(record, queue.build(), waiting, Urgency.IN_TIME, 0, _index -> avoided);
     }
 
     private static StepProto.Builder step(int count, long milliCores) {
