A worker that does not answer gets no longer lease; protections taken out are noticed

And a run in doubt was buried only if its end was applied while the worker counted as lapsed; now when it is given up. A request is held for a second without a leader, which an election takes, before it is refused.

--- a/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
@@ -32,8 +32,8 @@
 
     private static final long ATTEMPT_TIMEOUT_MS = 800;
     private static final long PAUSE_MS = 40;
-    /** A request is given up once no leader was found for this long; its caller may reach one elsewhere. */
-    private static final long LEADERLESS_MS = 500;
+    /** An election takes less; without a leader for this long, a caller does better elsewhere. */
+    private static final long LEADERLESS_MS = 1_000;
 
     private final Loops loops;
     private final Loop loop;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -79,7 +79,8 @@
     public void lead(Leadership fresh, long nowMs) {
         leadership = fresh;
         WorkerDriver driver = new WorkerDriver(
-                new WorkerDriver.Parts(link, fresh::execute, this::proposeOwn, timings, clock, metrics),
+                new WorkerDriver.Parts(
+                        link, fresh::execute, this::proposeOwn, timings, clock, metrics, DriverRules.safe()),
                 fresh.term(),
                 nowMs);
         leader = new GraphLeader(machine, driver, this::proposeOwn, clock, wallClock);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerClock.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerClock.java
@@ -31,6 +31,11 @@
         return untilMs;
     }
 
+    /** Until when the longest lease lasts that was granted so far, on the worker's clock. */
+    long grantedUntilMs() {
+        return grantedUntilMs;
+    }
+
     /** When every lease that this leader granted has surely passed, on the leader's clock. */
     long lapsedAtMs() {
         return heardAtMs + (long) Math.ceil(Math.max(0, grantedUntilMs - clockMs) / SLOWEST) + SLACK_MS;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -67,6 +67,7 @@
     private final LeaderTimings timings;
     private final Clock clock;
     private final Metrics metrics;
+    private final DriverRules rules;
     private final long term;
     private final long leadsSinceMs;
     private boolean closed;
@@ -79,6 +80,7 @@
         this.timings = parts.timings();
         this.clock = parts.clock();
         this.metrics = parts.metrics().declare(ORDER_REFUSALS, OrderRefusal.class);
+        this.rules = parts.rules();
         this.term = term;
         this.leadsSinceMs = nowMs;
     }
@@ -92,6 +94,7 @@
      * @param timings the deployment's times
      * @param clock a monotonic clock
      * @param metrics counts refusals
+     * @param rules how runs in doubt are settled
      */
     record Parts(
             WorkerLink link,
@@ -99,7 +102,8 @@
             Proposals proposals,
             LeaderTimings timings,
             Clock clock,
-            Metrics metrics) {}
+            Metrics metrics,
+            DriverRules rules) {}
 
     void close() {
         closed = true;
@@ -175,7 +179,7 @@
                 doubts.add(run);
             }
         });
-        if (!doubts.isEmpty()) {
+        if (!doubts.isEmpty() && rules.buryDoubts()) {
             doubtsOfFormerLives.put(session.id(), doubts);
         }
         sessions.remove(session.id());
@@ -197,10 +201,7 @@
         if (session == null) {
             return;
         }
-        RunOrder order = session.orders.remove(run.key());
-        if (order != null && session.lapsed && (order.inDoubt || order.inFlight)) {
-            session.tombstones.add(run.key());
-        }
+        session.orders.remove(run.key());
     }
 
     void unwanted(RunRecord run, long nowMs) {
@@ -253,7 +254,7 @@
         StartOrder message = new StartOrder(
                 order.run.key(),
                 order.run.step().job().graph().getPayload(),
-                session.clock.grant(timings.leaseMs(), nowMs),
+                leaseFor(session, nowMs),
                 term,
                 order.run.checkpoint(),
                 order.ticket);
@@ -263,6 +264,11 @@
                 outcome -> onThread(session, order, () -> startAnswered(session, order, outcome)));
     }
 
+    /** A worker that does not answer gets no longer lease, so that what runs there can be given up in time. */
+    private long leaseFor(WorkerSession session, long nowMs) {
+        return session.unanswered ? session.clock.grantedUntilMs() : session.clock.grant(timings.leaseMs(), nowMs);
+    }
+
     private void startAnswered(WorkerSession session, RunOrder order, OrderOutcome outcome) {
         long nowMs = clock.nowMs();
         if (outcome instanceof OrderOutcome.Done done) {
@@ -381,7 +387,7 @@
         }
         session.renewing = true;
         boolean mayGrant = session.introduced && !session.lapsed;
-        long untilMs = mayGrant ? session.clock.grant(timings.leaseMs(), nowMs) : 0;
+        long untilMs = mayGrant ? leaseFor(session, nowMs) : 0;
         RenewOrder order = new RenewOrder(term, untilMs, session.record.cursor(), mayGrant ? LISTING_WAIT_MS : 0);
         link.renew(
                 session.info(),
@@ -570,7 +576,8 @@
                 session.clock.isKnown() ? session.clock.lapsedAtMs() : 0,
                 WorkerClock.lapsedAtMs(timings.leaseMs(), leadsSinceMs));
         boolean holdsNothing = !session.introduced && session.orders.isEmpty();
-        if (nowMs < lapsedAtMs) {
+        boolean mayHoldALease = rules.waitForLapse() ? nowMs < lapsedAtMs : nowMs - session.heardAtMs < RETRY_MS * 2;
+        if (mayHoldALease) {
             return;
         }
         if (holdsNothing) {
@@ -590,6 +597,10 @@
             if (order.phase != RunOrder.Phase.ENDING) {
                 order.phase = RunOrder.Phase.ENDING;
                 lost.add(endOf(order, RunEndProto.RUN_LOST));
+                boolean mayStillArrive = order.inDoubt || order.inFlight;
+                if (mayStillArrive && rules.buryDoubts()) {
+                    session.tombstones.add(order.run.key());
+                }
             }
         }
         if (!lost.isEmpty()) {
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -48,6 +48,7 @@
     final List<String> violations = new ArrayList<>();
     private final Random random;
     private final double trouble;
+    private final DriverRules rules;
     private final GraphMachine machine = GraphMachine.keepingEndedFor(1_000_000);
     private final Map<String, SimulatedWorker> workers = new HashMap<>();
     private final Set<String> cutOff = new HashSet<>();
@@ -56,8 +57,14 @@
     private WorkerDriver driver;
     private long term;
     private int nextJob;
+    private boolean takesLateStarts;
 
     SimulatedCell(long seed, int workerCount, double trouble) {
+        this(seed, workerCount, trouble, DriverRules.safe());
+    }
+
+    SimulatedCell(long seed, int workerCount, double trouble, DriverRules rules) {
+        this.rules = rules;
         this.random = new Random(seed);
         this.trouble = trouble;
         machine.apply(GraphCommandProto.newBuilder()
@@ -77,6 +84,15 @@
         time.after(TICK_MS, this::tick);
     }
 
+    /** From now on workers take a start whose own lease has passed, as long as another lease holds there. */
+    void takeLateStarts() {
+        takesLateStarts = true;
+    }
+
+    boolean takesLateStarts() {
+        return takesLateStarts;
+    }
+
     // --- what happens
 
     void elect() {
@@ -98,7 +114,13 @@
         Proposals proposals = command -> commit(mine, command);
         driver = new WorkerDriver(
                 new WorkerDriver.Parts(
-                        this, Runnable::run, proposals, new LeaderTimings(LEASE_MS, 200), time, Metrics.create()),
+                        this,
+                        Runnable::run,
+                        proposals,
+                        new LeaderTimings(LEASE_MS, 200),
+                        time,
+                        Metrics.create(),
+                        rules),
                 mine,
                 time.nowMs());
         leader = new GraphLeader(machine, driver, proposals, time, time);
@@ -289,7 +311,10 @@
         }
         time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
             SimulatedWorker worker = workers.get(to.getId());
-            if (worker.isUp() && !cutOff.contains(to.getId())) {
+            boolean isReached = worker.isUp() && !cutOff.contains(to.getId());
+            if (isReached && worker.info().getBornMs() != to.getBornMs()) {
+                result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
+            } else if (isReached) {
                 result.accept(worker.renew(order));
             } else {
                 result.accept(new RenewOutcome.Unanswered(false));
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -93,7 +93,8 @@
         if (run <= highestEnded.getOrDefault(task, 0)) {
             return new OrderOutcome.Refused(OrderRefusal.OUTDATED);
         }
-        if (order.untilMs() <= clockMs()) {
+        boolean isTooLate = cell.takesLateStarts() ? leaseUntilMs <= clockMs() : order.untilMs() <= clockMs();
+        if (isTooLate && order.untilMs() <= clockMs()) {
             return new OrderOutcome.Refused(OrderRefusal.TOO_LATE);
         }
         grant(order.untilMs());
--- a/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
@@ -19,8 +19,11 @@
 
     /** Plays a day with troubles drawn from a seed, then a quiet end in which everything must complete. */
     private static SimulatedCell play(long seed, double trouble) {
+        return play(new SimulatedCell(seed, WORKERS, trouble), seed);
+    }
+
+    private static SimulatedCell play(SimulatedCell cell, long seed) {
         Random random = new Random(seed);
-        SimulatedCell cell = new SimulatedCell(seed, WORKERS, trouble);
         List<String> jobs = new ArrayList<>();
         for (int step = 0; step < STEPS; step++) {
             int width = 1 + random.nextInt(4);
@@ -52,6 +55,17 @@
             }
         }
 
+        @Test
+        void shouldKeepEveryPromiseWhenWorkersTakeStartsWhoseLeaseHasPassed() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = new SimulatedCell(seed, WORKERS, 0.2);
+                cell.takeLateStarts();
+                play(cell, seed);
+
+                assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+            }
+        }
+
         @Test
         void shouldCompleteAllJobsOnceTheTroublesEnd() {
             for (long seed = 0; seed < 20; seed++) {
@@ -62,6 +76,45 @@
         }
     }
 
+    @Nested
+    final class ProtectionsTakenOut {
+        private boolean isNoticedWithin(int seeds, DriverRules rules) {
+            for (long seed = 0; seed < seeds; seed++) {
+                SimulatedCell cell = new SimulatedCell(seed, WORKERS, 0.2, rules);
+                cell.takeLateStarts();
+                play(cell, seed);
+                if (!cell.violations.isEmpty()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        @Test
+        void shouldBeNoticedWhenLeasesAreNotWaitedFor() {
+            assertThat(isNoticedWithin(SEEDS, new DriverRules(false, true))).isTrue();
+        }
+
+        @Test
+        void shouldBeNoticedWhenDoubtsAreNotBuried() {
+            assertThat(isNoticedWithin(SEEDS, new DriverRules(true, false))).isTrue();
+        }
+    }
+
+    @Nested
+    final class LostWorkers {
+        @Test
+        void shouldBeGivenUpWhenTheirLeaseHasPassedAlthoughOrdersAreStillTried() {
+            SimulatedCell cell = new SimulatedCell(3, 1, 0);
+            cell.time.advance(2_000);
+            cell.submit(SimulatedCell.tasks(4, 1_000, false));
+            cell.cutOne(20_000);
+            cell.time.advance(10_000);
+
+            assertThat(cell.machine().runs()).isEmpty();
+        }
+    }
+
     @Nested
     final class Quiet {
         @Test
