--- a/cli/src/main/java/org/lovagegrade/cli/CliMain.java
+++ b/cli/src/main/java/org/lovagegrade/cli/CliMain.java
@@ -12,6 +12,7 @@
 import org.apache.commons.cli.ParseException;
 import org.lovagegrade.cli.commands.ConfigCommands;
 import org.lovagegrade.cli.commands.JobCommands;
+import org.lovagegrade.cli.trace.TraceCommand;
 import org.lovagegrade.kernel.CommandHelp;
 
 /** The program {@code lovagegrade}: the command line of operators and submitters. */
@@ -27,6 +28,7 @@
         this.err = err;
         commands.addAll(ConfigCommands.all());
         commands.addAll(JobCommands.all());
+        commands.add(TraceCommand.command());
     }
 
     /**
--- a/cli/src/main/java/org/lovagegrade/cli/Session.java
+++ b/cli/src/main/java/org/lovagegrade/cli/Session.java
@@ -124,6 +124,17 @@
         }
     }
 
+    /**
+     * Prints a line for programs.
+     *
+     * @param json the line, one JSON value
+     */
+    public void sayJson(String json) {
+        if (has("json")) {
+            out.println(json);
+        }
+    }
+
     /** Tells a good answer in words. */
     @FunctionalInterface
     public interface Wording {
--- /dev/null
+++ b/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
@@ -0,0 +1,102 @@
+package org.lovagegrade.cli.trace;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What happened to one id, in order. Lines of one process keep their order even if its time of day jumps; between
+ * processes the time of day decides.
+ *
+ * <p>Example: {@code Timeline.of("5c0e7a21d94b36f8", lines).cause()}
+ */
+public final class Timeline {
+    private final String id;
+    private final List<LogLine> lines;
+
+    private Timeline(String id, List<LogLine> lines) {
+        this.id = id;
+        this.lines = List.copyOf(lines);
+    }
+
+    /**
+     * Puts a timeline together.
+     *
+     * @param id the id to follow
+     * @param all lines of any processes
+     * @return the timeline, empty if nothing is about the id
+     */
+    public static Timeline of(String id, List<LogLine> all) {
+        Map<String, Long> latestMs = new TreeMap<>();
+        List<Ordered> found = new ArrayList<>();
+        for (LogLine line : all) {
+            if (line.isAbout(id)) {
+                long atMs = Math.max(line.atMs(), latestMs.getOrDefault(line.source(), Long.MIN_VALUE));
+                latestMs.put(line.source(), atMs);
+                found.add(new Ordered(atMs, line));
+            }
+        }
+        found.sort(Comparator.comparingLong(Ordered::atMs));
+        return new Timeline(id, found.stream().map(Ordered::line).toList());
+    }
+
+    /** A line and the time that puts it in order. */
+    private record Ordered(long atMs, LogLine line) {}
+
+    /**
+     * The lines in order.
+     *
+     * @return the lines
+     */
+    public List<LogLine> lines() {
+        return lines;
+    }
+
+    /**
+     * Tells in one sentence how it ended and why, from the last line that says so.
+     *
+     * @return the sentence
+     */
+    public String cause() {
+        String cause = lines.isEmpty()
+                ? "nothing in these logs is about " + id
+                : "no end in these logs; the last line is "
+                        + lines.get(lines.size() - 1).event();
+        for (LogLine line : lines) {
+            cause = causeIn(line, cause);
+        }
+        return cause;
+    }
+
+    private String causeIn(LogLine line, String before) {
+        return switch (line.event()) {
+            case "callerRefused" ->
+                "refused: " + line.text("outcome") + ", " + line.text("reason") + " (desired state "
+                        + line.text("documentVersion") + ")";
+            case "requestUnanswered" ->
+                line.fields().path("perhapsTaken").asBoolean()
+                        ? "given up without an answer of a leader; it may have been taken in"
+                        : "refused: no leader took it in, it has not run";
+            case "jobAccepted" -> "accepted, and not over in these logs";
+            case "jobOver" -> over(line);
+            default -> before;
+        };
+    }
+
+    private String over(LogLine line) {
+        long failed = count("runEnded", "how", "RUN_FAILED");
+        long lost = count("runGivenUp", "how", "RUN_LOST") + count("runEnded", "how", "RUN_LAPSED");
+        long refused = count("startRefused", "", "");
+        return "over as " + line.text("state") + " after " + line.text("tookMs") + " ms; " + failed + " runs failed, "
+                + lost + " were lost with their worker, " + refused + " starts were refused";
+    }
+
+    private long count(String event, String field, String value) {
+        return lines.stream()
+                .filter(line -> line.event().equals(event))
+                .filter(line -> field.isEmpty() || line.text(field).equals(value))
+                .count();
+    }
+}
