--- a/integration-tests/src/test/java/org/lovagegrade/integration/Program.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/Program.java
@@ -7,7 +7,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A process of the system, started, signalled and ended by a test. */
@@ -24,6 +26,7 @@
     private final String name;
     private final List<String> command;
     private final Path log;
+    private final Map<String, String> environment = new HashMap<>();
     private Process process;
 
     private Program(String name, List<String> command, Path log) {
@@ -41,12 +44,19 @@
         return new Program(name, command, folder.resolve(name + ".log"));
     }
 
+    /** Adds variables to its environment. */
+    Program with(Map<String, String> variables) {
+        environment.putAll(variables);
+        return this;
+    }
+
     Program start() {
         try {
-            process = new ProcessBuilder(command)
+            ProcessBuilder builder = new ProcessBuilder(command)
                     .redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
-                    .start();
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+            builder.environment().putAll(environment);
+            process = builder.start();
             return this;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/kernel/src/main/java/org/lovagegrade/kernel/http/HttpCaller.java
+++ b/kernel/src/main/java/org/lovagegrade/kernel/http/HttpCaller.java
@@ -91,7 +91,7 @@
      * @param address {@code host:port}
      * @param method the HTTP method
      * @param path the path and query
-     * @param headers further headers
+     * @param headers further headers; {@code Host} replaces the address
      * @param body the body
      * @return completes with what became of it, on a network thread
      */
@@ -102,6 +102,9 @@
                 new ClientRequest().setMethod(new HttpString(method)).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, address);
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(Headers.HOST_STRING))
+                .forEach(_header -> request.getRequestHeaders().remove(Headers.HOST));
         headers.forEach(header -> request.getRequestHeaders().add(new HttpString(header.name()), header.value()));
         UndertowClient.getInstance()
                 .connect(
