Calls that find no slot wait in the line of an endpoint's owner

Cause: a call waited only at the entry that received it. When an endpoint freed a slot, its owner gave it to its own line within the same turn of its loop, so other entries never saw a free slot in the owner's word and refused after 5 s. Ruled out: slower gossip (an owner's line takes the slot before any word is sent), a larger retry pause (same). Change: a passed call may wait at the owner (wait_ms), in one line with the calls received there, for 500 ms a visit. An entry without endpoints passes all that wait, others what has waited for half its time. A refusal for want of a slot does not count as an attempt any more.

--- a/entry/src/main/java/org/lovagegrade/entry/calls/CallService.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/CallService.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.lovagegrade.entry.calls.internal.PendingCall;
 import org.lovagegrade.entry.calls.internal.RetryBudget;
@@ -40,6 +41,9 @@
     private static final long MAINTAIN_INTERVAL_MS = 1_000;
     private static final int MOST_WAITING = 4_096;
     private static final int MOST_ATTEMPTS = 5;
+    /** The longest stay in another entry's line, so that slots that free up elsewhere are seen: a tenth of 5 s. */
+    private static final long MOST_GUEST_WAIT_MS = 500;
+
     private static final long FIRST_PAUSE_MS = 5;
     private static final long MOST_PAUSE_MS = 200;
 
@@ -107,21 +111,20 @@
     }
 
     /**
-     * Serves a call that another entry passed on, at once or not at all.
+     * Serves a call that another entry passed on, once an own endpoint has a free slot for it.
+     *
+     * <p>It waits in the same line as the calls received here, ordered by the same rule, until {@code startByMs}.
      *
      * @param request the call
      * @param caller takes the outcome, once, on the loop
      */
     public void serveHere(CallRequest request, Consumer<CallOutcome> caller) {
-        Optional<OwnedEndpoint> endpoint = freeHere(request.service());
-        if (endpoint.isEmpty()) {
+        if (line.size() >= MOST_WAITING) {
             refuse(request, CallRefusal.NO_FREE_SLOT_AT_OWNER, caller);
             return;
         }
-        endpoint.get().send(request, answer -> {
-            dispatch(request.service());
-            caller.accept(toOutcome(answer));
-        });
+        line.add(PendingCall.guest(request, caller, clock.nowMs()));
+        dispatch(request.service());
     }
 
     /**
@@ -170,6 +173,9 @@
     }
 
     private CallOutcome overdueOutcome(PendingCall call, long nowMs) {
+        if (call.isGuest()) {
+            return new CallOutcome.NotRun(CallRefusal.NO_FREE_SLOT_AT_OWNER);
+        }
         if (call.doubt() != null) {
             return new CallOutcome.Unknown(call.doubt());
         }
@@ -190,17 +196,42 @@
     private void dispatch(String service) {
         Optional<RoutingPolicy.Place> place = choose(service);
         while (place.isPresent()) {
-            PendingCall call = line.takeNext(
-                    service,
-                    waiting -> waiting.isAdmitted()
-                            || gates.mayEnter(waiting.request().team()),
-                    gates::useOfShare);
+            boolean isOwn = place.get().isOwn();
+            PendingCall call = line.takeNext(service, isOwn, this::mayStart, gates::useOfShare);
             if (call == null) {
                 return;
             }
             attempt(call, placeFor(call, place.get()));
             place = choose(service);
         }
+        waitElsewhere(service);
+    }
+
+    private boolean mayStart(PendingCall call) {
+        return call.isGuest()
+                || call.isAdmitted()
+                || gates.mayEnter(call.request().team());
+    }
+
+    /** No place is known to have a free slot: calls that could starve here go and wait at the owner of an endpoint. */
+    private void waitElsewhere(String service) {
+        List<String> owners = List.copyOf(peers.freeSlots(service).keySet());
+        if (owners.isEmpty()) {
+            return;
+        }
+        boolean ownsNone = directory.serving(service).isEmpty();
+        long nowMs = clock.nowMs();
+        Predicate<PendingCall> mayGo = call -> mayStart(call) && (ownsNone || hasWaitedHalf(call, nowMs));
+        PendingCall call = line.takeNext(service, false, mayGo, gates::useOfShare);
+        while (call != null) {
+            String owner = owners.get(random.nextInt(owners.size()));
+            attempt(call, new RoutingPolicy.Place(owner, false, 0, 0));
+            call = line.takeNext(service, false, mayGo, gates::useOfShare);
+        }
+    }
+
+    private static boolean hasWaitedHalf(PendingCall call, long nowMs) {
+        return nowMs - call.receivedMs() > call.request().startByMs() - nowMs;
     }
 
     private Optional<RoutingPolicy.Place> choose(String service) {
@@ -241,14 +272,10 @@
         return usable.size() * 2 < serving.size() ? serving : usable;
     }
 
-    private Optional<OwnedEndpoint> freeHere(String service) {
-        return usableHere(service).stream()
-                .filter(endpoint -> endpoint.free() > 0)
-                .max((a, b) -> Integer.compare(a.free(), b.free()));
-    }
-
     private void attempt(PendingCall call, RoutingPolicy.Place place) {
-        if (!call.isAdmitted()) {
+        if (call.isGuest()) {
+            gates.enterGuest(call.request().team());
+        } else if (!call.isAdmitted()) {
             call.admit();
             gates.enter(call.request().team());
             metrics.record(WAIT_HISTOGRAM, (double) (clock.nowMs() - call.receivedMs()));
@@ -293,13 +320,22 @@
                 .setBody(request.body())
                 .setIdempotent(request.idempotent())
                 .setBudgetMs(leftMs)
+                .setWaitMs(guestWaitMs(request))
                 .build();
         peers.call(place.id(), EnvelopeProto.newBuilder().setPassedCall(passed).build(), leftMs)
                 .thenAccept(result -> loop.execute(() -> settled(call, place.id(), toOutcome(result))));
     }
 
+    private long guestWaitMs(CallRequest request) {
+        long leftMs = Math.max(0, request.startByMs() - clock.nowMs());
+        return Math.min(MOST_GUEST_WAIT_MS, leftMs);
+    }
+
     private void settled(PendingCall call, String place, CallOutcome outcome) {
-        if (outcome instanceof CallOutcome.Answered) {
+        if (call.isGuest()) {
+            gates.leaveGuest(call.request().team());
+            finish(call, outcome);
+        } else if (outcome instanceof CallOutcome.Answered) {
             finish(call, outcome);
         } else if (foundNoSlot(outcome) && call.doubt() == null) {
             waitAgain(call, place);
@@ -363,7 +399,9 @@
         if (call.isAdmitted()) {
             gates.leave(call.request().team());
         }
-        note(call.request(), outcome);
+        if (!call.isGuest() || outcome instanceof CallOutcome.NotRun) {
+            note(call.request(), outcome);
+        }
         call.finish(outcome);
     }
 
--- a/entry/src/main/java/org/lovagegrade/entry/calls/PassedCalls.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/PassedCalls.java
@@ -14,7 +14,7 @@
      *
      * @param passed the message
      * @param nowMs the present time in milliseconds
-     * @return the call, with its deadline on this process's clock
+     * @return the call, with its deadline and the end of its waiting on this process's clock
      */
     public static CallRequest toRequest(PassedCallProto passed, long nowMs) {
         long deadlineMs = nowMs + passed.getBudgetMs();
@@ -29,7 +29,7 @@
                 passed.getBody(),
                 passed.getIdempotent(),
                 deadlineMs,
-                deadlineMs);
+                Math.min(deadlineMs, nowMs + passed.getWaitMs()));
     }
 
     /**
--- a/entry/src/main/java/org/lovagegrade/entry/calls/internal/PendingCall.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/internal/PendingCall.java
@@ -7,12 +7,13 @@
 import org.lovagegrade.entry.calls.CallOutcome;
 import org.lovagegrade.entry.calls.CallRequest;
 
-/** A call that this entry received and has not answered. */
+/** A call that this entry has from a caller or from another entry and has not answered. */
 public final class PendingCall {
     private final CallRequest request;
     private final Consumer<CallOutcome> caller;
     private final Set<String> avoid = new HashSet<>();
     private final long receivedMs;
+    private final boolean isGuest;
     private boolean admitted;
     private int attempts;
     private CallDoubt doubt;
@@ -25,9 +26,35 @@
      * @param receivedMs when it came, on the monotonic clock in milliseconds
      */
     public PendingCall(CallRequest request, Consumer<CallOutcome> caller, long receivedMs) {
+        this(request, caller, receivedMs, false);
+    }
+
+    private PendingCall(CallRequest request, Consumer<CallOutcome> caller, long receivedMs, boolean isGuest) {
         this.receivedMs = receivedMs;
         this.request = request;
         this.caller = caller;
+        this.isGuest = isGuest;
+    }
+
+    /**
+     * A call that another entry received, counts against its team's limit, and passed on to wait for a slot here.
+     *
+     * @param request the call
+     * @param caller takes the outcome for the other entry, once
+     * @param receivedMs when it came here, on the monotonic clock in milliseconds
+     * @return the call
+     */
+    public static PendingCall guest(CallRequest request, Consumer<CallOutcome> caller, long receivedMs) {
+        return new PendingCall(request, caller, receivedMs, true);
+    }
+
+    /**
+     * Whether another entry passed it on; such a call goes to own endpoints only.
+     *
+     * @return true if so
+     */
+    public boolean isGuest() {
+        return isGuest;
     }
 
     /**
@@ -64,6 +91,7 @@
 
     /** Lets it wait like one that was never tried; it counts against no limit any more. */
     public void withdraw() {
+        attempts--;
         admitted = false;
     }
 
--- a/entry/src/main/java/org/lovagegrade/entry/calls/internal/TeamGates.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/internal/TeamGates.java
@@ -15,6 +15,7 @@
 public final class TeamGates {
     private final ViewKeeper views;
     private final Map<String, Long> inFlight = new TreeMap<>();
+    private final Map<String, Long> guests = new TreeMap<>();
 
     /**
      * Creates the gates, all empty.
@@ -54,6 +55,24 @@
         inFlight.computeIfPresent(team, (_team, count) -> count > 1 ? count - 1 : null);
     }
 
+    /**
+     * Counts in a call that another entry counts against the limit; it uses the share only.
+     *
+     * @param team the team's id
+     */
+    public void enterGuest(String team) {
+        guests.merge(team, 1L, Long::sum);
+    }
+
+    /**
+     * Counts out a call that another entry passed on.
+     *
+     * @param team the team's id
+     */
+    public void leaveGuest(String team) {
+        guests.computeIfPresent(team, (_team, count) -> count > 1 ? count - 1 : null);
+    }
+
     /**
      * A team's calls in flight per unit of its share.
      *
@@ -62,7 +81,8 @@
      */
     public double useOfShare(String team) {
         double share = views.view().team(team).map(TeamProto::getShare).orElse(0.0);
-        return share > 0 ? inFlight(team) / share : Double.MAX_VALUE / 2 + inFlight(team);
+        long used = inFlight(team) + guests.getOrDefault(team, 0L);
+        return share > 0 ? used / share : Double.MAX_VALUE / 2 + used;
     }
 
     /**
--- a/entry/src/main/java/org/lovagegrade/entry/calls/internal/WaitingLine.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/internal/WaitingLine.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
@@ -42,16 +43,21 @@
      * Takes the call that goes next: of the team that uses the least of its share among those that may start.
      *
      * @param service the service that has room
+     * @param guestsToo whether calls of other entries may be taken
      * @param mayStart whether a call's team may start one more
      * @param useOfShare how much of its share a team uses
      * @return the call, or null
      */
-    public PendingCall takeNext(String service, Predicate<PendingCall> mayStart, ToDoubleFunction<String> useOfShare) {
+    public PendingCall takeNext(
+            String service, boolean guestsToo, Predicate<PendingCall> mayStart, ToDoubleFunction<String> useOfShare) {
         Waiting best = null;
         double bestUse = Double.POSITIVE_INFINITY;
         for (Map.Entry<String, TreeSet<Waiting>> team :
                 byService.getOrDefault(service, new TreeMap<>()).entrySet()) {
-            Waiting first = team.getValue().first();
+            Waiting first = first(team.getValue(), guestsToo);
+            if (first == null) {
+                continue;
+            }
             double use = useOfShare.applyAsDouble(team.getKey());
             if (mayStart.test(first.call()) && (best == null || use < bestUse)) {
                 best = first;
@@ -117,6 +123,15 @@
         return size;
     }
 
+    private static Waiting first(SortedSet<Waiting> line, boolean guestsToo) {
+        for (Waiting waiting : line) {
+            if (guestsToo || !waiting.call().isGuest()) {
+                return waiting;
+            }
+        }
+        return null;
+    }
+
     private static long limitMs(Waiting waiting) {
         return waiting.call().isAdmitted()
                 ? waiting.call().request().deadlineMs()
--- a/entry/src/test/java/org/lovagegrade/entry/calls/internal/WaitingLineTest.java
+++ b/entry/src/test/java/org/lovagegrade/entry/calls/internal/WaitingLineTest.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagegrade.entry.calls.CallRequest;
 
@@ -20,7 +21,7 @@
     }
 
     private String takeNext(Map<String, Double> useOfShare) {
-        PendingCall call = line.takeNext("orders", _call -> true, team -> useOfShare.getOrDefault(team, 0.0));
+        PendingCall call = line.takeNext("orders", true, _call -> true, team -> useOfShare.getOrDefault(team, 0.0));
         return call == null ? "" : call.request().id();
     }
 
@@ -53,8 +54,8 @@
         add("b", "sur", 200);
 
         // when
-        PendingCall call =
-                line.takeNext("orders", waiting -> waiting.request().team().equals("sur"), _team -> 0);
+        PendingCall call = line.takeNext(
+                "orders", true, waiting -> waiting.request().team().equals("sur"), _team -> 0);
 
         // then
         assertThat(call.request().id()).isEqualTo("b");
@@ -92,4 +93,49 @@
         assertThat(line.takeOverdue(9_999)).isEmpty();
         assertThat(line.takeOverdue(10_000)).containsExactly(call);
     }
+
+    @Nested
+    final class CallsOfOtherEntries {
+        private final PendingCall guest = PendingCall.guest(
+                new CallRequest(
+                        "guest", "norte", "fitting", "orders", "GET", "/", List.of(), ByteString.EMPTY, true, 900, 100),
+                _outcome -> {},
+                0);
+
+        @Test
+        void shouldWaitByTheSameRuleAsThoseReceivedHere() {
+            // given
+            add("late", "norte", 300);
+            line.add(guest);
+
+            // when, then
+            assertThat(takeNext(Map.of())).isEqualTo("guest");
+            assertThat(takeNext(Map.of())).isEqualTo("late");
+        }
+
+        @Test
+        void shouldNeverBePassedOnNorHoldUpThoseThatMayBe() {
+            // given
+            line.add(guest);
+            add("late", "norte", 300);
+
+            // when
+            PendingCall first = line.takeNext("orders", false, _call -> true, _team -> 0);
+            PendingCall second = line.takeNext("orders", false, _call -> true, _team -> 0);
+
+            // then
+            assertThat(first.request().id()).isEqualTo("late");
+            assertThat(second).isNull();
+        }
+
+        @Test
+        void shouldGoBackWhenTheirVisitIsOver() {
+            // given
+            line.add(guest);
+
+            // when, then
+            assertThat(line.takeOverdue(99)).isEmpty();
+            assertThat(line.takeOverdue(100)).containsExactly(guest);
+        }
+    }
 }
