--- a/benchmarks/src/main/java/org/lovagegrade/benchmarks/DecisionBenchmark.java
+++ b/benchmarks/src/main/java/org/lovagegrade/benchmarks/DecisionBenchmark.java
@@ -16,9 +16,9 @@
 import org.lovagegrade.core.Policy;
 import org.lovagegrade.core.Resources;
 import org.lovagegrade.core.Scheduler;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.WorkClass;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Fork;
@@ -43,7 +43,7 @@
 @Measurement(iterations = 3, time = 3)
 public class DecisionBenchmark {
     private static final int TASKS_PER_WORKER = 4;
-    private static final int TEAMS = 54;
+    private static final int WORKSPACES = 54;
     private static final int CORES = 32;
     private static final int MEMORY_MB = 131_072;
     private static final int WORKERS_PER_RACK = 36;
@@ -73,8 +73,8 @@
                             "r" + i / WORKERS_PER_RACK,
                             Resources.of(CORES * Resources.MILLI_CORES_PER_CORE, MEMORY_MB, 0))));
         }
-        for (int i = 0; i < TEAMS; i++) {
-            scheduler.apply(nowMs, new Event.TeamSet(new Team("t" + i, 1.0 / TEAMS, Limits.UNLIMITED)));
+        for (int i = 0; i < WORKSPACES; i++) {
+            scheduler.apply(nowMs, new Event.WorkspaceSet(new Workspace("t" + i, 1.0 / WORKSPACES, Limits.UNLIMITED)));
         }
         scheduler.apply(
                 nowMs,
@@ -104,8 +104,8 @@
 
     private void submit() {
         Resources size = Resources.of(4_000 + 500L * random.nextInt(16), 4_096 + 256L * random.nextInt(100), 0);
-        String team = "t" + random.nextInt(TEAMS);
-        scheduler.apply(nowMs, new Event.JobSubmitted(new Job("j" + nextJob++, team, "batch", 1, size, 0, nowMs)));
+        String workspace = "t" + random.nextInt(WORKSPACES);
+        scheduler.apply(nowMs, new Event.JobSubmitted(new Job("j" + nextJob++, workspace, "batch", 1, size, 0, nowMs)));
     }
 
     private List<Decision> decide() {
--- a/benchmarks/src/main/java/org/lovagegrade/benchmarks/SizeMeasurement.java
+++ b/benchmarks/src/main/java/org/lovagegrade/benchmarks/SizeMeasurement.java
@@ -11,9 +11,9 @@
 import org.lovagegrade.core.Policy;
 import org.lovagegrade.core.Resources;
 import org.lovagegrade.core.Scheduler;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.WorkClass;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 import org.lovagegrade.state.machine.StateMachine;
 import org.lovagegrade.wire.proto.CommandProto;
 import org.lovagegrade.wire.proto.ConfigChangeProto;
@@ -24,8 +24,8 @@
 import org.lovagegrade.wire.proto.JobSpecProto;
 import org.lovagegrade.wire.proto.ResourcesProto;
 import org.lovagegrade.wire.proto.SubmitProto;
-import org.lovagegrade.wire.proto.TeamProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /** The program {@code measure-sizes}: heap and snapshot bytes per running task, per worker and per answer. */
 public final class SizeMeasurement {
@@ -63,17 +63,18 @@
                 machine,
                 "team",
                 ConfigChangeProto.newBuilder()
-                        .setSetTeam(TeamProto.newBuilder().setId("norte").setShare(1)));
+                        .setSetWorkspace(
+                                WorkspaceProto.newBuilder().setId("norte").setShare(1)));
         apply(
                 machine,
                 "class",
                 ConfigChangeProto.newBuilder()
-                        .setSetClass(WorkClassProto.newBuilder().setId("open").setOpenTeam("norte")));
+                        .setSetClass(WorkClassProto.newBuilder().setId("open").setOpenWorkspace("norte")));
         for (int i = 0; i < TASKS; i++) {
             String id = String.format(Locale.ROOT, "job-%016d", i);
             JobSpecProto spec = JobSpecProto.newBuilder()
                     .setId(id)
-                    .setTeam("norte")
+                    .setWorkspace("norte")
                     .setWorkClass("open")
                     .setTasks(1)
                     .setPerTask(ResourcesProto.newBuilder().setMilliCores(TASK_MILLI_CORES))
@@ -105,7 +106,7 @@
 
     private static Scheduler scheduler() {
         Scheduler scheduler = Scheduler.with(Policy.current());
-        scheduler.apply(0, new Event.TeamSet(new Team("t", 1, Limits.UNLIMITED)));
+        scheduler.apply(0, new Event.WorkspaceSet(new Workspace("t", 1, Limits.UNLIMITED)));
         scheduler.apply(
                 0,
                 new Event.ClassSet(new WorkClass(
--- a/cli/src/main/java/org/lovagegrade/cli/api/ApiCall.java
+++ b/cli/src/main/java/org/lovagegrade/cli/api/ApiCall.java
@@ -7,7 +7,7 @@
 /**
  * A request to an entry; immutable.
  *
- * <p>Example: {@code ApiCall.put("/v1/teams/norte").with("Lovagegrade-Base-Revision", "0").withBody(json)}
+ * <p>Example: {@code ApiCall.put("/v1/workspaces/norte").with("Lovagegrade-Base-Revision", "0").withBody(json)}
  *
  * @param method the HTTP method
  * @param path the path and query
--- a/cli/src/main/java/org/lovagegrade/cli/commands/ConfigCommands.java
+++ b/cli/src/main/java/org/lovagegrade/cli/commands/ConfigCommands.java
@@ -16,7 +16,7 @@
 import org.lovagegrade.cli.api.ApiReply;
 import org.lovagegrade.kernel.KeyDigest;
 
-/** The commands by which operators change teams, classes and keys. */
+/** The commands by which operators change workspaces, classes and keys. */
 public final class ConfigCommands {
     private static final String BASE_REVISION = "base-revision";
     private static final int SECRET_BYTES = 24;
@@ -26,7 +26,7 @@
     /**
      * The commands.
      *
-     * @return {@code team}, {@code class} and {@code key}
+     * @return {@code workspace}, {@code class} and {@code key}
      */
     public static List<Command> all() {
         return List.of(
@@ -34,8 +34,8 @@
                         "team",
                         "set|remove|list [TEAM]",
                         "set a team's share and limits",
-                        teamOptions(),
-                        session -> change(session, "teams", ConfigCommands::teamBody)),
+                        workspaceOptions(),
+                        session -> change(session, "teams", ConfigCommands::workspaceBody)),
                 new Command(
                         "class",
                         "set|remove|list [CLASS]",
@@ -62,7 +62,7 @@
         return options;
     }
 
-    private static Options teamOptions() {
+    private static Options workspaceOptions() {
         Options options = baseOptions();
         options.addOption(null, "share", true, "part of a full cell, from 0 to 1");
         options.addOption(null, "limit-cores", true, "most cores that may run");
@@ -89,7 +89,7 @@
         return options;
     }
 
-    private static ObjectNode teamBody(Session session) throws UsageException {
+    private static ObjectNode workspaceBody(Session session) throws UsageException {
         ObjectNode body = ApiClient.object().put("share", 0.0);
         if (session.has("share")) {
             body.put("share", Words.decimal(session, "share"));
--- a/cli/src/main/java/org/lovagegrade/cli/commands/JobCommands.java
+++ b/cli/src/main/java/org/lovagegrade/cli/commands/JobCommands.java
@@ -16,7 +16,7 @@
 import org.lovagegrade.cli.api.ApiClient;
 import org.lovagegrade.cli.api.ApiReply;
 
-/** The commands by which teams submit, cancel, watch and call. */
+/** The commands by which workspaces submit, cancel, watch and call. */
 public final class JobCommands {
     private static final long POLL_MS = 300;
     private static final Set<String> OVER = Set.of("ended", "failed", "cancelled", "set_aside");
--- a/core/src/main/java/org/lovagegrade/core/Event.java
+++ b/core/src/main/java/org/lovagegrade/core/Event.java
@@ -9,11 +9,11 @@
  */
 public sealed interface Event {
     /**
-     * A team is new or changed.
+     * A workspace is new or changed.
      *
-     * @param team the team as it is now
+     * @param workspace the workspace as it is now
      */
-    record TeamSet(Team team) implements Event {}
+    record WorkspaceSet(Workspace workspace) implements Event {}
 
     /**
      * A class is new or changed.
--- a/core/src/main/java/org/lovagegrade/core/Explanation.java
+++ b/core/src/main/java/org/lovagegrade/core/Explanation.java
@@ -6,9 +6,14 @@
  * @param reason the reason
  * @param waitedMs how long it has waited, in milliseconds
  * @param waitTargetMs how long it may wait, in milliseconds; 0 without a target
- * @param teamShare the share stated for its team
- * @param teamUse the part of the cell that its team uses, by dominant resource
+ * @param workspaceShare the share stated for its workspace
+ * @param workspaceUse the part of the cell that its workspace uses, by dominant resource
  * @param waitingTasks how many of its tasks wait
  */
 public record Explanation(
-        Reason reason, long waitedMs, long waitTargetMs, double teamShare, double teamUse, int waitingTasks) {}
+        Reason reason,
+        long waitedMs,
+        long waitTargetMs,
+        double workspaceShare,
+        double workspaceUse,
+        int waitingTasks) {}
--- a/core/src/main/java/org/lovagegrade/core/Job.java
+++ b/core/src/main/java/org/lovagegrade/core/Job.java
@@ -1,10 +1,10 @@
 package org.lovagegrade.core;
 
 /**
- * Work that a team submitted.
+ * Work that a workspace submitted.
  *
  * @param id the job's id
- * @param team the team that it is accounted to
+ * @param workspace the workspace that it is accounted to
  * @param workClass the id of its class
  * @param tasks how many tasks it has, at least 1
  * @param perTask what each task is declared to need
@@ -13,7 +13,7 @@
  */
 public record Job(
         String id,
-        String team,
+        String workspace,
         String workClass,
         int tasks,
         Resources perTask,
--- a/core/src/main/java/org/lovagegrade/core/Limits.java
+++ b/core/src/main/java/org/lovagegrade/core/Limits.java
@@ -3,7 +3,7 @@
 import java.util.OptionalLong;
 
 /**
- * A team's upper limits across the whole fleet.
+ * A workspace's upper limits across the whole fleet.
  *
  * <p>Example: {@code Limits.of(OptionalLong.of(64_000), OptionalLong.empty(), OptionalLong.empty())}
  *
--- a/core/src/main/java/org/lovagegrade/core/Policy.java
+++ b/core/src/main/java/org/lovagegrade/core/Policy.java
@@ -32,7 +32,7 @@
     }
 
     /**
-     * Teams by dominant share, first fit.
+     * Workspaces by dominant share, first fit.
      *
      * @return the baseline
      */
--- a/core/src/main/java/org/lovagegrade/core/Reason.java
+++ b/core/src/main/java/org/lovagegrade/core/Reason.java
@@ -4,8 +4,8 @@
 public enum Reason {
     /** The job passed all checks. */
     ADMITTED("admitted"),
-    /** No such team. */
-    UNKNOWN_TEAM("unknownTeam"),
+    /** No such workspace. */
+    UNKNOWN_WORKSPACE("unknownTeam"),
     /** No such class. */
     UNKNOWN_CLASS("unknownClass"),
     /** A job of this id was submitted before. */
@@ -34,24 +34,24 @@
     GANG_MEMBER_LOST("gangMemberLost"),
     /** Urgent work would miss its waiting target. */
     URGENT_WORK_WAITS("urgentWorkWaits"),
-    /** Another team is below its share. */
+    /** Another workspace is below its share. */
     RESTORES_SHARE("restoresShare"),
-    /** The team runs more than its limit. */
-    OVER_TEAM_LIMIT("overTeamLimit"),
+    /** The workspace runs more than its limit. */
+    OVER_WORKSPACE_LIMIT("overTeamLimit"),
     /** The worker runs more than it has. */
     OVER_WORKER_CAPACITY("overWorkerCapacity"),
     /** A task is larger than any worker. */
     LARGER_THAN_ANY_WORKER("largerThanAnyWorker"),
     /** The gang is larger than all workers together. */
     LARGER_THAN_CELL("largerThanCell"),
-    /** The job is larger than its team's limit. */
-    LARGER_THAN_TEAM_LIMIT("largerThanTeamLimit"),
+    /** The job is larger than its workspace's limit. */
+    LARGER_THAN_WORKSPACE_LIMIT("largerThanTeamLimit"),
     /** The task failed too often on workers that run others well. */
     FAILED_TOO_OFTEN("failedTooOften"),
     /** The job waits for room. */
     NO_ROOM("noRoom"),
-    /** The job waits until its team runs less. */
-    TEAM_AT_LIMIT("teamAtLimit"),
+    /** The job waits until its workspace runs less. */
+    WORKSPACE_AT_LIMIT("teamAtLimit"),
     /** The job waits a while after failures. */
     BACKING_OFF("backingOff"),
     /** All tasks of the job are placed or ended. */
--- a/core/src/main/java/org/lovagegrade/core/WorkClass.java
+++ b/core/src/main/java/org/lovagegrade/core/WorkClass.java
@@ -9,7 +9,7 @@
  * @param kind the kind of work
  * @param waitTargetMs how long work may wait for its start, in milliseconds
  * @param recoveryTargetMs how soon lost work is to run again, in milliseconds
- * @param shareTargetMs how soon a team is to reach its share, in milliseconds
+ * @param shareTargetMs how soon a workspace is to reach its share, in milliseconds
  */
 public record WorkClass(
         String id,
--- a/core/src/main/java/org/lovagegrade/core/internal/Cell.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Cell.java
@@ -11,17 +11,18 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.lovagegrade.core.Resources;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.WorkClass;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 
 /** All that the scheduler knows, with the sums kept in step with each change. */
 final class Cell {
-    private static final Comparator<TeamState> LEAST_USE_FIRST =
-            Comparator.<TeamState>comparingDouble(team -> team.sortKey).thenComparing(team -> team.spec.id());
+    private static final Comparator<WorkspaceState> LEAST_USE_FIRST = Comparator.<WorkspaceState>comparingDouble(
+                    workspace -> workspace.sortKey)
+            .thenComparing(workspace -> workspace.spec.id());
 
     private final Rules rules;
-    private final TreeMap<String, TeamState> teams = new TreeMap<>();
+    private final TreeMap<String, WorkspaceState> workspaces = new TreeMap<>();
     private final Map<String, WorkClass> classes = new HashMap<>();
     private final Map<String, JobState> jobs = new HashMap<>();
     private final TreeMap<String, WorkerState> workers = new TreeMap<>();
@@ -32,7 +33,7 @@
     private final TreeSet<WorkerState> reservedWorkers = new TreeSet<>(WorkerState.BY_ID);
     private final SizeCorrection sizes = new SizeCorrection();
     private final Map<Resources, Integer> capacities = new HashMap<>();
-    private final List<TeamState> byUse = new ArrayList<>();
+    private final List<WorkspaceState> byUse = new ArrayList<>();
     private Resources living = Resources.NONE;
     private Resources free = Resources.NONE;
     private boolean freeRose;
@@ -54,20 +55,20 @@
         return sizes;
     }
 
-    Collection<TeamState> teams() {
-        return teams.values();
+    Collection<WorkspaceState> workspaces() {
+        return workspaces.values();
     }
 
-    /** All teams, the one that uses the least of its share first. */
-    List<TeamState> teamsByUse() {
-        byUse.forEach(team -> team.sortKey = team.useOfShare(living));
+    /** All workspaces, the one that uses the least of its share first. */
+    List<WorkspaceState> workspacesByUse() {
+        byUse.forEach(workspace -> workspace.sortKey = workspace.useOfShare(living));
         // Nearly sorted from the last time, which the sort of lists makes use of.
         byUse.sort(LEAST_USE_FIRST);
         return byUse;
     }
 
-    TeamState team(String id) {
-        return teams.get(id);
+    WorkspaceState workspace(String id) {
+        return workspaces.get(id);
     }
 
     Collection<WorkerState> workers() {
@@ -124,15 +125,15 @@
         return rose;
     }
 
-    void setTeam(Team spec) {
-        TeamState team = teams.get(spec.id());
-        if (team == null) {
-            team = new TeamState(spec, rules.jobOrder());
-            teams.put(spec.id(), team);
-            byUse.add(team);
+    void setWorkspace(Workspace spec) {
+        WorkspaceState workspace = workspaces.get(spec.id());
+        if (workspace == null) {
+            workspace = new WorkspaceState(spec, rules.jobOrder());
+            workspaces.put(spec.id(), workspace);
+            byUse.add(workspace);
         }
-        team.spec = spec;
-        team.headroomRose = true;
+        workspace.spec = spec;
+        workspace.headroomRose = true;
         freeRose = true;
     }
 
@@ -147,7 +148,7 @@
     void forgetJob(JobState job) {
         jobs.remove(job.spec.id());
         setAside.remove(job);
-        job.team.waiting.remove(job);
+        job.workspace.waiting.remove(job);
     }
 
     /** The sizes of all workers announced so far, with how many there are of each. */
@@ -254,25 +255,25 @@
         task.victimSequence = nextSequence();
         task.job.waiting.remove(task.index);
         task.job.placedTasks++;
-        task.job.team.running.add(task);
+        task.job.workspace.running.add(task);
         worker.tasks.add(task);
         change(worker, task, amount);
     }
 
     /** Notes that a task was asked to stop, so that it is no longer a choice for others. */
     void markStopping(TaskState task) {
-        task.job.team.running.remove(task);
-        task.job.team.stopping = task.job.team.stopping.plus(task.held);
+        task.job.workspace.running.remove(task);
+        task.job.workspace.stopping = task.job.workspace.stopping.plus(task.held);
     }
 
     /** Takes back what a task held. */
     void release(TaskState task) {
         WorkerState worker = task.worker;
         if (task.isStopRequested()) {
-            task.job.team.stopping = task.job.team.stopping.minus(task.held);
+            task.job.workspace.stopping = task.job.workspace.stopping.minus(task.held);
         }
         worker.tasks.remove(task);
-        task.job.team.running.remove(task);
+        task.job.workspace.running.remove(task);
         task.job.placedTasks--;
         change(worker, task, Resources.NONE.minus(task.held));
         task.held = Resources.NONE;
@@ -289,31 +290,31 @@
     void correctHeld(TaskState task, Resources amount) {
         Resources rise = amount.minus(task.held);
         if (task.isStopRequested()) {
-            task.job.team.stopping = task.job.team.stopping.plus(rise);
+            task.job.workspace.stopping = task.job.workspace.stopping.plus(rise);
         }
         change(task.worker, task, rise);
         task.held = amount;
     }
 
-    /** Whether a job goes before one of another team. */
+    /** Whether a job goes before one of another workspace. */
     boolean goesBefore(JobState job, JobState other) {
-        return rules.teamOrder().compare(job.team, job, other.team, other, living) < 0;
+        return rules.workspaceOrder().compare(job.workspace, job, other.workspace, other, living) < 0;
     }
 
-    boolean hasTeamRoom(JobState job) {
-        return job.team.spec.limits().allow(job.team.used.plus(job.neededAtOnce()));
+    boolean hasWorkspaceRoom(JobState job) {
+        return job.workspace.spec.limits().allow(job.workspace.used.plus(job.neededAtOnce()));
     }
 
     private void change(WorkerState worker, TaskState task, Resources amount) {
         boolean counted = isCounted(worker);
         worker.free = worker.free.minus(amount);
-        task.job.team.used = task.job.team.used.plus(amount);
+        task.job.workspace.used = task.job.workspace.used.plus(amount);
         if (counted) {
             free = free.minus(amount);
         }
         index.refresh(worker);
         if (amount.isNegative()) {
-            task.job.team.headroomRose = true;
+            task.job.workspace.headroomRose = true;
             noteRoom(worker);
         }
     }
--- a/core/src/main/java/org/lovagegrade/core/internal/Engine.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Engine.java
@@ -13,8 +13,8 @@
 import org.lovagegrade.core.Job;
 import org.lovagegrade.core.Reason;
 import org.lovagegrade.core.Resources;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 
 /** Takes events in and gives decisions out; the same events give the same decisions. */
 public final class Engine {
@@ -53,8 +53,8 @@
      * @param event the event
      */
     public void apply(long nowMs, Event event) {
-        if (event instanceof Event.TeamSet e) {
-            teamSet(e.team(), nowMs);
+        if (event instanceof Event.WorkspaceSet e) {
+            workspaceSet(e.workspace(), nowMs);
         } else if (event instanceof Event.ClassSet e) {
             cell.setClass(e.workClass());
         } else if (event instanceof Event.WorkerAnnounced e) {
@@ -116,8 +116,8 @@
                         state.waitReason,
                         state.waiting.isEmpty() ? 0 : nowMs - state.waitingSinceMs,
                         state.workClass.waitTargetMs().orElse(0),
-                        state.team.spec.share(),
-                        state.team.used.dominantShareOf(cell.living()),
+                        state.workspace.spec.share(),
+                        state.workspace.used.dominantShareOf(cell.living()),
                         state.waiting.size()));
     }
 
@@ -158,12 +158,12 @@
         return task.isOnWorker() && fence.test(reported, task.attempt()) ? Optional.of(task) : Optional.empty();
     }
 
-    private void teamSet(Team spec, long nowMs) {
-        cell.setTeam(spec);
-        TeamState team = cell.team(spec.id());
-        stopping.enforceLimit(team, nowMs);
+    private void workspaceSet(Workspace spec, long nowMs) {
+        cell.setWorkspace(spec);
+        WorkspaceState workspace = cell.workspace(spec.id());
+        stopping.enforceLimit(workspace, nowMs);
         lifecycle.reviewSetAside(nowMs);
-        lifecycle.reviewWaiting(team);
+        lifecycle.reviewWaiting(workspace);
     }
 
     private void workerAnnounced(Worker spec, long nowMs) {
@@ -214,8 +214,8 @@
         if (spec.tasks() < 1 || size.isNegative() || size.equals(Resources.NONE)) {
             return Optional.of(Reason.BAD_SIZE);
         }
-        if (cell.team(spec.team()) == null) {
-            return Optional.of(Reason.UNKNOWN_TEAM);
+        if (cell.workspace(spec.workspace()) == null) {
+            return Optional.of(Reason.UNKNOWN_WORKSPACE);
         }
         if (cell.workClass(spec.workClass()) == null) {
             return Optional.of(Reason.UNKNOWN_CLASS);
@@ -224,8 +224,8 @@
     }
 
     private JobState newJob(Job spec, long nowMs) {
-        JobState job =
-                new JobState(spec, cell.workClass(spec.workClass()), cell.team(spec.team()), cell.nextSequence());
+        JobState job = new JobState(
+                spec, cell.workClass(spec.workClass()), cell.workspace(spec.workspace()), cell.nextSequence());
         job.waitingSinceMs = Math.min(nowMs, spec.submittedAtMs());
         cell.addJob(job);
         return job;
--- a/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
@@ -13,16 +13,16 @@
     }
 
     /**
-     * One team's state.
+     * One workspace's state.
      *
-     * @param id the team's id
+     * @param id the workspace's id
      * @param share its share
      * @param used what it holds
      * @param waiting whether it has work waiting
      * @param waitsForRoom whether any of that work was tried and found no room
      * @param limits its upper limits
      */
-    public record TeamView(
+    public record WorkspaceView(
             String id, double share, Resources used, boolean waiting, boolean waitsForRoom, Limits limits) {}
 
     /**
@@ -48,19 +48,19 @@
             int tasks) {}
 
     /**
-     * Visits all teams.
+     * Visits all workspaces.
      *
-     * @param visitor is given each team, ordered by id
+     * @param visitor is given each workspace, ordered by id
      */
-    public void forEachTeam(Consumer<TeamView> visitor) {
-        for (TeamState team : cell.teams()) {
-            visitor.accept(new TeamView(
-                    team.spec.id(),
-                    team.spec.share(),
-                    team.used,
-                    !team.waiting.isEmpty(),
-                    team.waiting.hasParkedForRoom(),
-                    team.spec.limits()));
+    public void forEachWorkspace(Consumer<WorkspaceView> visitor) {
+        for (WorkspaceState workspace : cell.workspaces()) {
+            visitor.accept(new WorkspaceView(
+                    workspace.spec.id(),
+                    workspace.spec.share(),
+                    workspace.used,
+                    !workspace.waiting.isEmpty(),
+                    workspace.waiting.hasParkedForRoom(),
+                    workspace.spec.limits()));
         }
     }
 
--- a/core/src/main/java/org/lovagegrade/core/internal/Feasibility.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Feasibility.java
@@ -13,10 +13,10 @@
         this.cell = cell;
     }
 
-    /** Why the job can't run as the cell and its team's limits stand, or nothing if it can. */
+    /** Why the job can't run as the cell and its workspace's limits stand, or nothing if it can. */
     Optional<Reason> obstacle(JobState job, Resources perTask) {
-        if (!job.team.spec.limits().allow(perTask.times(job.tasksPerPlacement()))) {
-            return Optional.of(Reason.LARGER_THAN_TEAM_LIMIT);
+        if (!job.workspace.spec.limits().allow(perTask.times(job.tasksPerPlacement()))) {
+            return Optional.of(Reason.LARGER_THAN_WORKSPACE_LIMIT);
         }
         long slots = slotsInEmptyCell(perTask);
         if (slots == 0) {
--- a/core/src/main/java/org/lovagegrade/core/internal/JobState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/JobState.java
@@ -16,7 +16,7 @@
 
     final Job spec;
     final WorkClass workClass;
-    final TeamState team;
+    final WorkspaceState workspace;
     final long sequence;
     final long deadlineMs;
     final TaskState[] tasks;
@@ -37,10 +37,10 @@
     long nextPreemptionMs;
     long reservedUntilMs;
 
-    JobState(Job spec, WorkClass workClass, TeamState team, long sequence) {
+    JobState(Job spec, WorkClass workClass, WorkspaceState workspace, long sequence) {
         this.spec = spec;
         this.workClass = workClass;
-        this.team = team;
+        this.workspace = workspace;
         this.sequence = sequence;
         this.planned = spec.perTask();
         this.deadlineMs = workClass.waitTargetMs().isPresent()
--- a/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
@@ -112,7 +112,7 @@
         cell.correctHeld(task, amount);
         replan(job, job.planned.max(used), nowMs);
         stopping.relieve(task.worker, nowMs);
-        stopping.enforceLimit(job.team, nowMs);
+        stopping.enforceLimit(job.workspace, nowMs);
     }
 
     /** Lets jobs return that can run after all. */
@@ -128,8 +128,8 @@
     }
 
     /** Sets jobs aside that a lowered limit keeps from ever running. */
-    void reviewWaiting(TeamState team) {
-        for (JobState job : new ArrayList<>(team.waiting.parked())) {
+    void reviewWaiting(WorkspaceState workspace) {
+        for (JobState job : new ArrayList<>(workspace.waiting.parked())) {
             setAsideIfImpossible(job);
         }
     }
@@ -192,7 +192,7 @@
 
     private void replan(JobState job, Resources planned, long nowMs) {
         boolean wasWaiting = job.wantsPlacement();
-        job.team.waiting.remove(job);
+        job.workspace.waiting.remove(job);
         job.planned = planned;
         if (wasWaiting && !setAsideIfImpossible(job)) {
             placement.reconsider(job, nowMs);
@@ -207,7 +207,7 @@
         if (obstacle.isEmpty()) {
             return false;
         }
-        job.team.waiting.remove(job);
+        job.workspace.waiting.remove(job);
         cell.unreserveAll(job);
         job.waitReason = obstacle.get();
         if (!job.setAside) {
--- a/core/src/main/java/org/lovagegrade/core/internal/Placement.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Placement.java
@@ -10,7 +10,7 @@
 /** Places waiting tasks on workers while there is room. */
 final class Placement {
     private static final long GANG_RETRY_MS = 100;
-    private static final int GANGS_TRIED_PER_TEAM = 4;
+    private static final int GANGS_TRIED_PER_WORKSPACE = 4;
 
     private final Cell cell;
     private final DecisionLog log;
@@ -35,17 +35,17 @@
     /** Lets a job wait for placement, or takes it out if it has nothing to place. */
     void reconsider(JobState job, long nowMs) {
         if (!job.wantsPlacement()) {
-            job.team.waiting.remove(job);
+            job.workspace.waiting.remove(job);
             cell.unreserveAll(job);
             return;
         }
         if (nowMs < job.notBeforeMs) {
-            job.team.waiting.remove(job);
+            job.workspace.waiting.remove(job);
             job.waitReason = Reason.BACKING_OFF;
             timers.at(job.notBeforeMs, () -> reconsider(job, job.notBeforeMs));
             return;
         }
-        job.team.waiting.open(job);
+        job.workspace.waiting.open(job);
     }
 
     private void placeOpenJobs(long nowMs) {
@@ -58,8 +58,8 @@
 
     private JobState firstOpen() {
         JobState best = null;
-        for (TeamState team : cell.teams()) {
-            JobState job = team.waiting.firstOpen();
+        for (WorkspaceState workspace : cell.workspaces()) {
+            JobState job = workspace.waiting.firstOpen();
             if (job != null && (best == null || cell.goesBefore(job, best))) {
                 best = job;
             }
@@ -68,8 +68,8 @@
     }
 
     private void tryPlace(JobState job, long nowMs) {
-        if (!cell.hasTeamRoom(job)) {
-            park(job, Reason.TEAM_AT_LIMIT);
+        if (!cell.hasWorkspaceRoom(job)) {
+            park(job, Reason.WORKSPACE_AT_LIMIT);
             return;
         }
         if (job.isGang()) {
@@ -86,7 +86,7 @@
 
     private void park(JobState job, Reason reason) {
         job.waitReason = reason;
-        job.team.waiting.park(job);
+        job.workspace.waiting.park(job);
         if (job.isGang()) {
             gangTryDue = true;
         }
@@ -98,7 +98,7 @@
             cell.unreserve(worker);
         }
         if (job.waiting.isEmpty()) {
-            job.team.waiting.remove(job);
+            job.workspace.waiting.remove(job);
             cell.unreserveAll(job);
             job.waitReason = Reason.NOT_WAITING;
         }
@@ -113,7 +113,7 @@
         for (int i = 0; i < job.tasks.length; i++) {
             hold(job.tasks[i], workers.get().get(i), Reason.GANG_FITS, nowMs);
         }
-        job.team.waiting.remove(job);
+        job.workspace.waiting.remove(job);
         cell.unreserveAll(job);
         job.waitReason = Reason.NOT_WAITING;
         return true;
@@ -127,23 +127,23 @@
     }
 
     private void placeWithinRaisedLimits(long nowMs) {
-        for (TeamState team : cell.teams()) {
-            if (!team.headroomRose) {
+        for (WorkspaceState workspace : cell.workspaces()) {
+            if (!workspace.headroomRose) {
                 continue;
             }
-            team.headroomRose = false;
+            workspace.headroomRose = false;
             gangTryDue = true;
-            JobState job = firstAtLimit(team);
+            JobState job = firstAtLimit(workspace);
             while (job != null) {
                 tryPlace(job, nowMs);
-                job = firstAtLimit(team);
+                job = firstAtLimit(workspace);
             }
         }
     }
 
-    private static JobState firstAtLimit(TeamState team) {
-        return team.waiting.firstParkedWithin(
-                team.spec.limits().headroom(team.used), job -> job.waitReason == Reason.TEAM_AT_LIMIT);
+    private static JobState firstAtLimit(WorkspaceState workspace) {
+        return workspace.waiting.firstParkedWithin(
+                workspace.spec.limits().headroom(workspace.used), job -> job.waitReason == Reason.WORKSPACE_AT_LIMIT);
     }
 
     private void placeWhereRoomAppeared(long nowMs) {
@@ -167,17 +167,19 @@
         return cell.rules().sharesFirst() ? firstByShare(worker) : firstOfAll(worker);
     }
 
-    /** Looks no further than the first team that has a job for the worker. */
+    /** Looks no further than the first workspace that has a job for the worker. */
     private JobState firstByShare(WorkerState worker) {
-        List<TeamState> teams = cell.teamsByUse();
-        for (TeamState team : teams) {
-            JobState urgent = team.waiting.hasParkedUrgent() ? firstOfTeam(team, worker, JobState::isUrgent) : null;
+        List<WorkspaceState> workspaces = cell.workspacesByUse();
+        for (WorkspaceState workspace : workspaces) {
+            JobState urgent = workspace.waiting.hasParkedUrgent()
+                    ? firstOfWorkspace(workspace, worker, JobState::isUrgent)
+                    : null;
             if (urgent != null) {
                 return urgent;
             }
         }
-        for (TeamState team : teams) {
-            JobState job = team.waiting.isEmpty() ? null : firstOfTeam(team, worker, _job -> true);
+        for (WorkspaceState workspace : workspaces) {
+            JobState job = workspace.waiting.isEmpty() ? null : firstOfWorkspace(workspace, worker, _job -> true);
             if (job != null) {
                 return job;
             }
@@ -187,8 +189,8 @@
 
     private JobState firstOfAll(WorkerState worker) {
         JobState best = null;
-        for (TeamState team : cell.teams()) {
-            JobState job = team.waiting.isEmpty() ? null : firstOfTeam(team, worker, _job -> true);
+        for (WorkspaceState workspace : cell.workspaces()) {
+            JobState job = workspace.waiting.isEmpty() ? null : firstOfWorkspace(workspace, worker, _job -> true);
             if (job != null && (best == null || cell.goesBefore(job, best))) {
                 best = job;
             }
@@ -196,9 +198,9 @@
         return best;
     }
 
-    private JobState firstOfTeam(TeamState team, WorkerState worker, Predicate<JobState> wanted) {
-        return team.waiting.firstParkedWithin(
-                worker.free, job -> wanted.test(job) && cell.mayTake(worker, job) && cell.hasTeamRoom(job));
+    private JobState firstOfWorkspace(WorkspaceState workspace, WorkerState worker, Predicate<JobState> wanted) {
+        return workspace.waiting.firstParkedWithin(
+                worker.free, job -> wanted.test(job) && cell.mayTake(worker, job) && cell.hasWorkspaceRoom(job));
     }
 
     private JobState holderIfFits(WorkerState worker) {
@@ -207,7 +209,7 @@
                 && holder.wantsPlacement()
                 && cell.mayTake(worker, holder)
                 && worker.free.covers(holder.planned)
-                && cell.hasTeamRoom(holder);
+                && cell.hasWorkspaceRoom(holder);
         return fits ? holder : null;
     }
 
@@ -230,9 +232,9 @@
     }
 
     private JobState firstProbeFor(WorkerState worker) {
-        for (TeamState team : cell.teams()) {
-            JobState job = team.waiting.firstParkedWithin(
-                    worker.free, parked -> !parked.isUrgent() && !parked.isService() && cell.hasTeamRoom(parked));
+        for (WorkspaceState workspace : cell.workspaces()) {
+            JobState job = workspace.waiting.firstParkedWithin(
+                    worker.free, parked -> !parked.isUrgent() && !parked.isService() && cell.hasWorkspaceRoom(parked));
             if (job != null) {
                 return job;
             }
@@ -243,14 +245,14 @@
     private void retryGangs(long nowMs) {
         gangTryDue |= cell.takeFreeRose();
         boolean all = gangTryDue && nowMs >= nextGangTryMs;
-        for (TeamState team : cell.teams()) {
+        for (WorkspaceState workspace : cell.workspaces()) {
             int tried = 0;
-            for (JobState gang : new ArrayList<>(team.waiting.parkedGangs())) {
-                boolean mayFit = cell.free().covers(gang.neededAtOnce()) && cell.hasTeamRoom(gang);
+            for (JobState gang : new ArrayList<>(workspace.waiting.parkedGangs())) {
+                boolean mayFit = cell.free().covers(gang.neededAtOnce()) && cell.hasWorkspaceRoom(gang);
                 if (mayFit && (all || !gang.reserved.isEmpty())) {
                     tryPlaceGang(gang, nowMs);
                 }
-                if (++tried >= GANGS_TRIED_PER_TEAM) {
+                if (++tried >= GANGS_TRIED_PER_WORKSPACE) {
                     break;
                 }
             }
--- a/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Preemption.java
@@ -9,13 +9,13 @@
 import org.lovagegrade.core.Reason;
 import org.lovagegrade.core.Resources;
 
-/** Makes room for urgent work and for teams below their shares, by stopping the cheapest work that may give way. */
+/** Makes room for urgent work and for workspaces below their shares, by stopping the cheapest work that may give way. */
 final class Preemption {
     private static final long URGENT_TRIGGER_DIVISOR = 4;
     private static final long SHARE_TRIGGER_DIVISOR = 20;
     private static final long RETRY_MS = 500;
     private static final long RESERVED_MS = 15_000;
-    private static final int JOBS_SEEN_PER_TEAM = 32;
+    private static final int JOBS_SEEN_PER_WORKSPACE = 32;
     private static final int PLANS_PER_DECISION = 32;
     private static final int VICTIMS_SEEN_PER_SLOT = 128;
     private static final long SOON_MS = 5;
@@ -31,7 +31,7 @@
         this.timers = timers;
     }
 
-    /** Whether a task may give way, given what its team has given up already. */
+    /** Whether a task may give way, given what its workspace has given up already. */
     @FunctionalInterface
     private interface VictimTest {
         boolean mayGiveWay(TaskState victim, Resources givenUp);
@@ -39,26 +39,26 @@
 
     void run(long nowMs) {
         plansLeft = PLANS_PER_DECISION;
-        for (TeamState team : List.copyOf(cell.teamsByUse())) {
-            boolean isBelowShare = team.sortKey < 1;
-            if (team.waiting.hasParkedForRoom() && (isBelowShare || team.waiting.hasParkedUrgent())) {
-                considerFirstJobs(team, nowMs);
+        for (WorkspaceState workspace : List.copyOf(cell.workspacesByUse())) {
+            boolean isBelowShare = workspace.sortKey < 1;
+            if (workspace.waiting.hasParkedForRoom() && (isBelowShare || workspace.waiting.hasParkedUrgent())) {
+                considerFirstJobs(workspace, nowMs);
             }
         }
     }
 
-    private void considerFirstJobs(TeamState team, long nowMs) {
+    private void considerFirstJobs(WorkspaceState workspace, long nowMs) {
         int seen = 0;
-        for (JobState job : team.waiting.parked()) {
+        for (JobState job : workspace.waiting.parked()) {
             consider(job, nowMs);
-            if (++seen >= JOBS_SEEN_PER_TEAM) {
+            if (++seen >= JOBS_SEEN_PER_WORKSPACE) {
                 return;
             }
         }
     }
 
     private void consider(JobState job, long nowMs) {
-        if (job.waitReason != Reason.NO_ROOM || !cell.hasTeamRoom(job)) {
+        if (job.waitReason != Reason.NO_ROOM || !cell.hasWorkspaceRoom(job)) {
             return;
         }
         if (job.isUrgent()) {
@@ -71,8 +71,8 @@
     }
 
     private boolean isBelowShare(JobState job) {
-        Resources after = job.team.used.plus(job.neededAtOnce());
-        return job.team.useOfShare(after, cell.living()) <= 1;
+        Resources after = job.workspace.used.plus(job.neededAtOnce());
+        return job.workspace.useOfShare(after, cell.living()) <= 1;
     }
 
     private void considerAfter(JobState job, long triggerMs, long nowMs, Reason reason) {
@@ -109,43 +109,45 @@
 
     private List<VictimTest> testsFor(JobState job, Reason reason) {
         VictimTest overShare = (victim, givenUp) ->
-                !victim.job.isUrgent() && victim.job.team != job.team && staysAtShare(victim, givenUp);
+                !victim.job.isUrgent() && victim.job.workspace != job.workspace && staysAtShare(victim, givenUp);
         if (reason == Reason.RESTORES_SHARE) {
             return List.of(overShare);
         }
-        VictimTest sameTeam = (victim, _givenUp) -> !victim.job.isUrgent() && victim.job.team == job.team;
+        VictimTest sameWorkspace =
+                (victim, _givenUp) -> !victim.job.isUrgent() && victim.job.workspace == job.workspace;
         VictimTest anyNotUrgent = (victim, _givenUp) -> !victim.job.isUrgent();
-        return List.of(overShare, sameTeam, anyNotUrgent);
+        return List.of(overShare, sameWorkspace, anyNotUrgent);
     }
 
     private boolean staysAtShare(TaskState victim, Resources givenUp) {
-        TeamState team = victim.job.team;
+        WorkspaceState workspace = victim.job.workspace;
         Resources loss = victim.job.isGang() ? victim.held.times(victim.job.placedTasks) : victim.held;
-        Resources after = team.used.minus(team.stopping).minus(givenUp).minus(loss);
-        return team.useOfShare(after, cell.living()) >= 1;
+        Resources after =
+                workspace.used.minus(workspace.stopping).minus(givenUp).minus(loss);
+        return workspace.useOfShare(after, cell.living()) >= 1;
     }
 
     /** The victims by worker that make the room needed, or null. */
     private Map<WorkerState, List<TaskState>> plan(JobState job, VictimTest test) {
         long missing = job.tasksPerPlacement() - (job.isGang() ? freeSlots(job) : 0);
         long victimsLeft = VICTIMS_SEEN_PER_SLOT * Math.max(1, missing);
-        IdentityHashMap<TeamState, Resources> givenUp = new IdentityHashMap<>();
+        IdentityHashMap<WorkspaceState, Resources> givenUp = new IdentityHashMap<>();
         Map<WorkerState, List<TaskState>> victims = new TreeMap<>(WorkerState.BY_ID);
         IdentityHashMap<WorkerState, Resources> room = new IdentityHashMap<>();
-        for (TeamState team : mostUseFirst()) {
-            for (TaskState victim : team.running) {
+        for (WorkspaceState workspace : mostUseFirst()) {
+            for (TaskState victim : workspace.running) {
                 if (victimsLeft-- <= 0) {
                     return null;
                 }
                 WorkerState worker = victim.worker;
-                Resources given = givenUp.getOrDefault(team, Resources.NONE);
+                Resources given = givenUp.getOrDefault(workspace, Resources.NONE);
                 if (!cell.mayTake(worker, job) || !test.mayGiveWay(victim, given)) {
                     continue;
                 }
                 Resources before = room.getOrDefault(worker, worker.free);
                 Resources after = before.plus(victim.held);
                 missing -= after.timesCovering(job.planned) - before.timesCovering(job.planned);
-                givenUp.put(team, given.plus(victim.held));
+                givenUp.put(workspace, given.plus(victim.held));
                 room.put(worker, after);
                 victims.computeIfAbsent(worker, _unused -> new ArrayList<>()).add(victim);
                 if (missing <= 0) {
@@ -220,9 +222,9 @@
         fitting.forEach(worker -> cell.reserve(worker, job));
     }
 
-    private List<TeamState> mostUseFirst() {
-        List<TeamState> teams = new ArrayList<>(cell.teamsByUse());
-        Collections.reverse(teams);
-        return teams;
+    private List<WorkspaceState> mostUseFirst() {
+        List<WorkspaceState> workspaces = new ArrayList<>(cell.workspacesByUse());
+        Collections.reverse(workspaces);
+        return workspaces;
     }
 }
--- a/core/src/main/java/org/lovagegrade/core/internal/Reservation.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Reservation.java
@@ -59,9 +59,9 @@
 
     private JobState mostDue(long nowMs) {
         JobState best = null;
-        for (TeamState team : cell.teams()) {
-            JobState job = firstLarge(team);
-            if (job == null || !cell.hasTeamRoom(job)) {
+        for (WorkspaceState workspace : cell.workspaces()) {
+            JobState job = firstLarge(workspace);
+            if (job == null || !cell.hasWorkspaceRoom(job)) {
                 continue;
             }
             long dueMs = job.waitingSinceMs + patienceMs(job);
@@ -76,17 +76,17 @@
         return best;
     }
 
-    /** Work that brings its team above its share must first have missed its waiting target. */
+    /** Work that brings its workspace above its share must first have missed its waiting target. */
     private long patienceMs(JobState job) {
-        Resources after = job.team.used.plus(job.neededAtOnce());
-        return job.team.useOfShare(after, cell.living()) <= 1
+        Resources after = job.workspace.used.plus(job.neededAtOnce());
+        return job.workspace.useOfShare(after, cell.living()) <= 1
                 ? RESERVE_AFTER_MS
                 : job.workClass.waitTargetMs().orElse(PATIENCE_ABOVE_SHARE_MS);
     }
 
-    private JobState firstLarge(TeamState team) {
-        JobState gang = team.waiting.firstParkedGang();
-        JobState first = team.waiting.firstParked();
+    private JobState firstLarge(WorkspaceState workspace) {
+        JobState gang = workspace.waiting.firstParkedGang();
+        JobState first = workspace.waiting.firstParked();
         if (first == null || first.isGang() || !isLarge(first)) {
             return gang;
         }
--- a/core/src/main/java/org/lovagegrade/core/internal/Rules.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Rules.java
@@ -6,16 +6,16 @@
 /**
  * What differs between policies.
  *
- * @param jobOrder which job of a team goes first
- * @param teamOrder which team goes first
+ * @param jobOrder which job of a workspace goes first
+ * @param workspaceOrder which workspace goes first
  * @param search how a worker is found
- * @param sharesFirst whether, urgent work aside, teams go strictly in the order of their use of share
+ * @param sharesFirst whether, urgent work aside, workspaces go strictly in the order of their use of share
  * @param preempts whether running work gives way to other work
  * @param reserves whether room is held free for work that would wait forever
  */
 public record Rules(
         Comparator<JobState> jobOrder,
-        TeamOrder teamOrder,
+        WorkspaceOrder workspaceOrder,
         WorkerSearch search,
         boolean sharesFirst,
         boolean preempts,
@@ -24,10 +24,10 @@
     private static final Comparator<JobState> BY_SLACK =
             Comparator.<JobState>comparingLong(job -> job.deadlineMs).thenComparingLong(job -> job.sequence);
 
-    /** Compares two teams by their next jobs. */
+    /** Compares two workspaces by their next jobs. */
     @FunctionalInterface
-    interface TeamOrder {
-        int compare(TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell);
+    interface WorkspaceOrder {
+        int compare(WorkspaceState left, JobState leftJob, WorkspaceState right, JobState rightJob, Resources cell);
     }
 
     /** Finds a worker for one task. */
@@ -55,7 +55,7 @@
     }
 
     /**
-     * Teams by dominant share, else as plain as can be.
+     * Workspaces by dominant share, else as plain as can be.
      *
      * @return the rules
      */
@@ -64,17 +64,18 @@
     }
 
     private static int bySubmission(
-            TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell) {
+            WorkspaceState left, JobState leftJob, WorkspaceState right, JobState rightJob, Resources cell) {
         return BY_SUBMISSION.compare(leftJob, rightJob);
     }
 
-    private static int byShare(TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell) {
+    private static int byShare(
+            WorkspaceState left, JobState leftJob, WorkspaceState right, JobState rightJob, Resources cell) {
         int byUse = Double.compare(left.useOfShare(cell), right.useOfShare(cell));
         return byUse != 0 ? byUse : BY_SUBMISSION.compare(leftJob, rightJob);
     }
 
     private static int urgentThenByShare(
-            TeamState left, JobState leftJob, TeamState right, JobState rightJob, Resources cell) {
+            WorkspaceState left, JobState leftJob, WorkspaceState right, JobState rightJob, Resources cell) {
         if (leftJob.isUrgent() != rightJob.isUrgent()) {
             return leftJob.isUrgent() ? -1 : 1;
         }
--- a/core/src/main/java/org/lovagegrade/core/internal/SizeCorrection.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/SizeCorrection.java
@@ -5,12 +5,12 @@
 import org.lovagegrade.core.Job;
 import org.lovagegrade.core.Resources;
 
-/** Learns from lagged usage by how much the jobs of a team and class pass their declared sizes. */
+/** Learns from lagged usage by how much the jobs of a workspace and class pass their declared sizes. */
 final class SizeCorrection {
     private static final double WEIGHT_OF_NEW_REPORT = 0.2;
     private static final double GREATEST_FACTOR = 4.0;
 
-    private record Key(String team, String workClass) {}
+    private record Key(String workspace, String workClass) {}
 
     private record Factors(double cores, double memory) {}
 
@@ -19,7 +19,7 @@
     private final Map<Key, Factors> learned = new HashMap<>();
 
     void observe(Job job, Resources used) {
-        Key key = new Key(job.team(), job.workClass());
+        Key key = new Key(job.workspace(), job.workClass());
         Factors former = learned.getOrDefault(key, TRUTHFUL);
         learned.put(
                 key,
@@ -30,7 +30,7 @@
 
     /** The size to plan with; never below the declared one. */
     Resources plannedFor(Job job) {
-        Factors factors = learned.getOrDefault(new Key(job.team(), job.workClass()), TRUTHFUL);
+        Factors factors = learned.getOrDefault(new Key(job.workspace(), job.workClass()), TRUTHFUL);
         Resources declared = job.perTask();
         return Resources.of(
                 scaled(declared.milliCores(), factors.cores()),
--- a/core/src/main/java/org/lovagegrade/core/internal/Stopping.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Stopping.java
@@ -50,16 +50,16 @@
         }
     }
 
-    /** Brings a team back under its limit, cheapest work first. */
-    void enforceLimit(TeamState team, long nowMs) {
-        Resources over = excess(team);
+    /** Brings a workspace back under its limit, cheapest work first. */
+    void enforceLimit(WorkspaceState workspace, long nowMs) {
+        Resources over = excess(workspace);
         while (!over.equals(Resources.NONE)) {
-            TaskState victim = cheapestThatHelps(team, over);
+            TaskState victim = cheapestThatHelps(workspace, over);
             if (victim == null) {
                 return;
             }
-            request(victim, Reason.OVER_TEAM_LIMIT, nowMs);
-            over = excess(team);
+            request(victim, Reason.OVER_WORKSPACE_LIMIT, nowMs);
+            over = excess(workspace);
         }
     }
 
@@ -88,13 +88,13 @@
         }
     }
 
-    private static Resources excess(TeamState team) {
-        Resources staying = team.used.minus(team.stopping);
-        return Resources.NONE.max(staying.minus(team.spec.limits().most()));
+    private static Resources excess(WorkspaceState workspace) {
+        Resources staying = workspace.used.minus(workspace.stopping);
+        return Resources.NONE.max(staying.minus(workspace.spec.limits().most()));
     }
 
-    private static TaskState cheapestThatHelps(TeamState team, Resources over) {
-        for (TaskState task : team.running) {
+    private static TaskState cheapestThatHelps(WorkspaceState workspace, Resources over) {
+        for (TaskState task : workspace.running) {
             boolean helps = (over.milliCores() > 0 && task.held.milliCores() > 0)
                     || (over.memoryMb() > 0 && task.held.memoryMb() > 0)
                     || (over.accelerators() > 0 && task.held.accelerators() > 0);
--- a/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WaitingJobs.java
@@ -10,7 +10,7 @@
 import org.lovagegrade.core.Resources;
 
 /**
- * The waiting jobs of one team: open ones, which are still to be tried, and parked ones, for which there was no room.
+ * The waiting jobs of one workspace: open ones, which are still to be tried, and parked ones, for which there was no room.
  *
  * <p>Parked jobs stand in groups by size, so that when room appears only jobs that may fit are looked at.
  */
--- a/core/src/main/java/org/lovagegrade/core/internal/TeamState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WorkspaceState.java
@@ -3,34 +3,35 @@
 import java.util.Comparator;
 import java.util.TreeSet;
 import org.lovagegrade.core.Resources;
-import org.lovagegrade.core.Team;
+import org.lovagegrade.core.Workspace;
 
-/** The scheduler's knowledge of one team. */
-final class TeamState {
+/** The scheduler's knowledge of one workspace. */
+final class WorkspaceState {
     private static final int BATCH_RANK = 0;
     private static final int GANG_RANK = 1;
     private static final int SERVICE_RANK = 2;
 
     /** Cheapest first: batch before gangs before services, and what ran least before what ran longer. */
-    private static final Comparator<TaskState> CHEAPEST_FIRST = Comparator.<TaskState>comparingInt(TeamState::costRank)
+    private static final Comparator<TaskState> CHEAPEST_FIRST = Comparator.<TaskState>comparingInt(
+                    WorkspaceState::costRank)
             .thenComparing(
                     Comparator.<TaskState>comparingLong(task -> task.placedAtMs).reversed())
             .thenComparingLong(task -> -task.victimSequence);
 
     final WaitingJobs waiting;
     final TreeSet<TaskState> running = new TreeSet<>(CHEAPEST_FIRST);
-    Team spec;
+    Workspace spec;
     Resources used = Resources.NONE;
     Resources stopping = Resources.NONE;
     boolean headroomRose;
     double sortKey;
 
-    TeamState(Team spec, Comparator<JobState> jobOrder) {
+    WorkspaceState(Workspace spec, Comparator<JobState> jobOrder) {
         this.spec = spec;
         this.waiting = new WaitingJobs(jobOrder);
     }
 
-    /** The part of its share that the team uses; infinite for a team without a share. */
+    /** The part of its share that the workspace uses; infinite for a workspace without a share. */
     double useOfShare(Resources cell) {
         return useOfShare(used, cell);
     }
--- a/core/src/test/java/org/lovagegrade/core/CellDriver.java
+++ b/core/src/test/java/org/lovagegrade/core/CellDriver.java
@@ -31,14 +31,14 @@
         return apply(new Event.WorkerAnnounced(new Worker(id, domain, "r-" + domain, capacity)));
     }
 
-    CellDriver team(String id, double share) {
-        return apply(new Event.TeamSet(new Team(id, share, Limits.UNLIMITED)));
+    CellDriver workspace(String id, double share) {
+        return apply(new Event.WorkspaceSet(new Workspace(id, share, Limits.UNLIMITED)));
     }
 
-    CellDriver teamLimitedTo(String id, double share, long cores) {
+    CellDriver workspaceLimitedTo(String id, double share, long cores) {
         Limits limits = Limits.of(
                 OptionalLong.of(cores * Resources.MILLI_CORES_PER_CORE), OptionalLong.empty(), OptionalLong.empty());
-        return apply(new Event.TeamSet(new Team(id, share, limits)));
+        return apply(new Event.WorkspaceSet(new Workspace(id, share, limits)));
     }
 
     CellDriver workClass(String id, ClassKind kind, long waitTargetMs, long shareTargetMs) {
@@ -50,9 +50,9 @@
                 shareTargetMs > 0 ? OptionalLong.of(shareTargetMs) : OptionalLong.empty())));
     }
 
-    CellDriver submit(String id, String team, String workClass, int tasks, double cores) {
+    CellDriver submit(String id, String workspace, String workClass, int tasks, double cores) {
         Resources size = Resources.of(Math.round(cores * Resources.MILLI_CORES_PER_CORE), 256, 0);
-        return apply(new Event.JobSubmitted(new Job(id, team, workClass, tasks, size, 0, nowMs)));
+        return apply(new Event.JobSubmitted(new Job(id, workspace, workClass, tasks, size, 0, nowMs)));
     }
 
     /** How long the tasks of a job will run; without this they run until they are stopped. */
--- a/core/src/test/java/org/lovagegrade/core/FenceMeasurementTest.java
+++ b/core/src/test/java/org/lovagegrade/core/FenceMeasurementTest.java
@@ -24,7 +24,7 @@
         for (int i = 0; i < 6; i++) {
             scheduler.apply(0, new Event.WorkerAnnounced(new Worker("w" + i, "d", "r", Resources.of(4_000, 4_096, 0))));
         }
-        scheduler.apply(0, new Event.TeamSet(new Team("t", 1, Limits.UNLIMITED)));
+        scheduler.apply(0, new Event.WorkspaceSet(new Workspace("t", 1, Limits.UNLIMITED)));
         scheduler.apply(
                 0,
                 new Event.ClassSet(new WorkClass(
--- a/core/src/test/java/org/lovagegrade/core/LifecycleTest.java
+++ b/core/src/test/java/org/lovagegrade/core/LifecycleTest.java
@@ -10,7 +10,7 @@
     private static CellDriver cell(int workers) {
         return new CellDriver(Policy.current())
                 .workers(workers, 16, 65_536)
-                .team("norte", 0.6)
+                .workspace("norte", 0.6)
                 .workClass("batch", ClassKind.BATCH, 0, 0);
     }
 
@@ -168,7 +168,7 @@
         }
 
         private List<Decision> history() {
-            CellDriver cell = cell(5).team("sur", 0.4).workClass("urgent", ClassKind.BATCH, 2_200, 0);
+            CellDriver cell = cell(5).workspace("sur", 0.4).workClass("urgent", ClassKind.BATCH, 2_200, 0);
             for (int i = 0; i < 100; i++) {
                 cell.submit("job-" + i, i % 2 == 0 ? "norte" : "sur", "batch", 1 + i % 4, 1 + i % 3)
                         .running("job-" + i, 1_000 + i * 13L)
--- a/core/src/test/java/org/lovagegrade/core/PlacementTest.java
+++ b/core/src/test/java/org/lovagegrade/core/PlacementTest.java
@@ -10,8 +10,8 @@
     private static CellDriver cell(int workers) {
         return new CellDriver(Policy.current())
                 .workers(workers, 16, 65_536)
-                .team("norte", 0.6)
-                .team("sur", 0.4)
+                .workspace("norte", 0.6)
+                .workspace("sur", 0.4)
                 .workClass("urgent", ClassKind.BATCH, 2_200, 0)
                 .workClass("batch", ClassKind.BATCH, 0, 20_000)
                 .workClass("gang", ClassKind.GANG, 120_000, 0)
@@ -116,16 +116,16 @@
         }
 
         @Test
-        void shouldReturnWhenTheLimitOfItsTeamIsRaised() {
+        void shouldReturnWhenTheLimitOfItsWorkspaceIsRaised() {
             // given
-            CellDriver cell = cell(4).teamLimitedTo("norte", 0.6, 8)
+            CellDriver cell = cell(4).workspaceLimitedTo("norte", 0.6, 8)
                     .submit("gang", "norte", "gang", 4, 4)
                     .until(0);
             assertThat(cell.decisions(Action.SET_ASIDE, "gang").get(0).reason())
-                    .isEqualTo(Reason.LARGER_THAN_TEAM_LIMIT);
+                    .isEqualTo(Reason.LARGER_THAN_WORKSPACE_LIMIT);
 
             // when
-            cell.teamLimitedTo("norte", 0.6, 16).until(1);
+            cell.workspaceLimitedTo("norte", 0.6, 16).until(1);
 
             // then
             assertThat(cell.runningTasks("gang")).isEqualTo(4);
@@ -149,11 +149,11 @@
     }
 
     @Nested
-    final class TeamLimits {
+    final class WorkspaceLimits {
         @Test
         void shouldNeverBePassed() {
             // given
-            CellDriver cell = cell(4).teamLimitedTo("norte", 0.6, 10);
+            CellDriver cell = cell(4).workspaceLimitedTo("norte", 0.6, 10);
 
             // when
             cell.submit("wide", "norte", "batch", 30, 2).until(60_000);
@@ -168,7 +168,7 @@
             CellDriver cell = cell(4).submit("wide", "norte", "batch", 20, 2).until(0);
 
             // when
-            cell.teamLimitedTo("norte", 0.6, 10).until(1);
+            cell.workspaceLimitedTo("norte", 0.6, 10).until(1);
 
             // then
             assertThat(cell.runningTasks("wide")).isEqualTo(5);
--- a/core/src/test/java/org/lovagegrade/core/PreemptionTest.java
+++ b/core/src/test/java/org/lovagegrade/core/PreemptionTest.java
@@ -12,8 +12,8 @@
     private static CellDriver fullCell() {
         return new CellDriver(Policy.current())
                 .workers(10, 16, 65_536)
-                .team("large", 0.5)
-                .team("small", 0.5)
+                .workspace("large", 0.5)
+                .workspace("small", 0.5)
                 .workClass("urgent", ClassKind.BATCH, URGENT_TARGET_MS, 0)
                 .workClass("batch", ClassKind.BATCH, 0, SHARE_TARGET_MS)
                 .submit("filler", "large", "batch", 80, 2)
@@ -36,7 +36,7 @@
         }
 
         @Test
-        void shouldTakeRoomOfItsOwnTeamWhenThatTeamAloneFillsTheCell() {
+        void shouldTakeRoomOfItsOwnWorkspaceWhenThatWorkspaceAloneFillsTheCell() {
             // given
             CellDriver cell = fullCell();
 
@@ -52,7 +52,7 @@
             // given
             CellDriver cell = new CellDriver(Policy.current())
                     .workers(1, 4, 8_192)
-                    .team("large", 1)
+                    .workspace("large", 1)
                     .workClass("urgent", ClassKind.BATCH, URGENT_TARGET_MS, 0)
                     .submit("first", "large", "urgent", 4, 1)
                     .until(100);
@@ -106,7 +106,7 @@
             // when
             cell.until(1_000 + SHARE_TARGET_MS);
 
-            // then: the cell is full again, half for each team
+            // then: the cell is full again, half for each workspace
             assertThat(cell.runningTasks("filler")).isEqualTo(40);
             long rebuilding = 0;
             for (int i = 0; i < 30; i++) {
--- a/core/src/test/java/org/lovagegrade/core/WakeTest.java
+++ b/core/src/test/java/org/lovagegrade/core/WakeTest.java
@@ -10,7 +10,7 @@
         // given: a worker that failed three tasks of two jobs and now runs a probe that goes on for long
         CellDriver cell = new CellDriver(Policy.current())
                 .workers(1, 16, 65_536)
-                .team("norte", 1)
+                .workspace("norte", 1)
                 .workClass("batch", ClassKind.BATCH, 0, 20_000)
                 .submit("first", "norte", "batch", 4, 4)
                 .submit("second", "norte", "batch", 4, 4)
--- a/entry/src/main/java/org/lovagegrade/entry/calls/CallRefusal.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/CallRefusal.java
@@ -12,8 +12,8 @@
     NO_ENDPOINT("noEndpoint"),
     /** No slot became free in time. */
     NO_SLOT_IN_TIME("noSlotInTime"),
-    /** The team was at its limit of calls for too long. */
-    TEAM_AT_LIMIT("teamAtLimit"),
+    /** The workspace was at its limit of calls for too long. */
+    WORKSPACE_AT_LIMIT("teamAtLimit"),
     /** Too many calls wait here. */
     LINE_FULL("lineFull"),
     /** The endpoints that were tried could not be reached, and the retry budget is spent. */
--- a/entry/src/main/java/org/lovagegrade/entry/calls/CallRequest.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/CallRequest.java
@@ -8,7 +8,7 @@
  * A call of someone who waits.
  *
  * @param id the call's id, unique in the fleet
- * @param team the team that it is accounted to
+ * @param workspace the workspace that it is accounted to
  * @param workClass the class of work that it belongs to
  * @param service the service that is to answer it
  * @param method the HTTP method
@@ -21,7 +21,7 @@
  */
 public record CallRequest(
         String id,
-        String team,
+        String workspace,
         String workClass,
         String service,
         String method,
--- a/entry/src/main/java/org/lovagegrade/entry/calls/CallService.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/CallService.java
@@ -9,8 +9,8 @@
 import java.util.random.RandomGenerator;
 import org.lovagegrade.entry.calls.internal.PendingCall;
 import org.lovagegrade.entry.calls.internal.RetryBudget;
-import org.lovagegrade.entry.calls.internal.TeamGates;
 import org.lovagegrade.entry.calls.internal.WaitingLine;
+import org.lovagegrade.entry.calls.internal.WorkspaceGates;
 import org.lovagegrade.entry.endpoints.EndpointAnswer;
 import org.lovagegrade.entry.endpoints.EndpointDirectory;
 import org.lovagegrade.entry.endpoints.OwnedEndpoint;
@@ -49,7 +49,7 @@
 
     private final EndpointDirectory directory;
     private final PeerEntries peers;
-    private final TeamGates gates;
+    private final WorkspaceGates gates;
     private final RoutingPolicy routing;
     private final Loop loop;
     private final Clock clock;
@@ -81,7 +81,7 @@
             RandomGenerator random) {
         this.directory = directory;
         this.peers = peers;
-        this.gates = new TeamGates(views);
+        this.gates = new WorkspaceGates(views);
         this.routing = routing;
         this.loop = loop;
         this.clock = clock;
@@ -182,8 +182,8 @@
         if (nowMs >= call.request().deadlineMs()) {
             return new CallOutcome.NotRun(CallRefusal.DEADLINE_PASSED);
         }
-        if (!gates.mayEnter(call.request().team())) {
-            return new CallOutcome.NotRun(CallRefusal.TEAM_AT_LIMIT);
+        if (!gates.mayEnter(call.request().workspace())) {
+            return new CallOutcome.NotRun(CallRefusal.WORKSPACE_AT_LIMIT);
         }
         boolean isServed = !places(call.request().service()).isEmpty();
         return new CallOutcome.NotRun(isServed ? CallRefusal.NO_SLOT_IN_TIME : CallRefusal.NO_ENDPOINT);
@@ -210,7 +210,7 @@
     private boolean mayStart(PendingCall call) {
         return call.isGuest()
                 || call.isAdmitted()
-                || gates.mayEnter(call.request().team());
+                || gates.mayEnter(call.request().workspace());
     }
 
     /** No place is known to have a free slot: calls that could starve here go and wait at the owner of an endpoint. */
@@ -274,17 +274,17 @@
 
     private void attempt(PendingCall call, RoutingPolicy.Place place) {
         if (call.isGuest()) {
-            gates.enterGuest(call.request().team());
+            gates.enterGuest(call.request().workspace());
         } else if (!call.isAdmitted()) {
             call.admit();
-            gates.enter(call.request().team());
+            gates.enter(call.request().workspace());
             metrics.record(WAIT_HISTOGRAM, (double) (clock.nowMs() - call.receivedMs()));
         }
         int number = call.nextAttempt();
         CallRequest request = call.request();
         Log.event("callAttempt")
                 .with("call", request.id())
-                .with("team", request.team())
+                .with("team", request.workspace())
                 .with("service", request.service())
                 .with("place", place.id())
                 .with("attempt", number)
@@ -311,7 +311,7 @@
         long leftMs = Math.max(1, request.deadlineMs() - clock.nowMs());
         PassedCallProto passed = PassedCallProto.newBuilder()
                 .setCallId(request.id())
-                .setTeam(request.team())
+                .setWorkspace(request.workspace())
                 .setWorkClass(request.workClass())
                 .setService(request.service())
                 .setMethod(request.method())
@@ -333,7 +333,7 @@
 
     private void settled(PendingCall call, String place, CallOutcome outcome) {
         if (call.isGuest()) {
-            gates.leaveGuest(call.request().team());
+            gates.leaveGuest(call.request().workspace());
             finish(call, outcome);
         } else if (outcome instanceof CallOutcome.Answered) {
             finish(call, outcome);
@@ -353,7 +353,7 @@
     /** The slot was taken by others meanwhile; no endpoint was troubled, so this is waiting and no retry. */
     private void waitAgain(PendingCall call, String place) {
         call.withdraw();
-        gates.leave(call.request().team());
+        gates.leave(call.request().workspace());
         peers.full(place, call.request().service());
         loop.schedule(pauseMs(1), () -> {
             line.add(call);
@@ -397,7 +397,7 @@
 
     private void finish(PendingCall call, CallOutcome outcome) {
         if (call.isAdmitted()) {
-            gates.leave(call.request().team());
+            gates.leave(call.request().workspace());
         }
         if (!call.isGuest() || outcome instanceof CallOutcome.NotRun) {
             note(call.request(), outcome);
@@ -412,7 +412,7 @@
     }
 
     private void note(CallRequest request, CallOutcome outcome) {
-        Log line = Log.event("call").with("call", request.id()).with("team", request.team());
+        Log line = Log.event("call").with("call", request.id()).with("team", request.workspace());
         if (outcome instanceof CallOutcome.Answered answered) {
             line.with("outcome", "answered").with("httpStatus", answered.httpStatus());
         } else if (outcome instanceof CallOutcome.NotRun notRun) {
--- a/entry/src/main/java/org/lovagegrade/entry/calls/PassedCalls.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/PassedCalls.java
@@ -20,7 +20,7 @@
         long deadlineMs = nowMs + passed.getBudgetMs();
         return new CallRequest(
                 passed.getCallId(),
-                passed.getTeam(),
+                passed.getWorkspace(),
                 passed.getWorkClass(),
                 passed.getService(),
                 passed.getMethod(),
--- a/entry/src/main/java/org/lovagegrade/entry/calls/internal/PendingCall.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/internal/PendingCall.java
@@ -37,7 +37,7 @@
     }
 
     /**
-     * A call that another entry received, counts against its team's limit, and passed on to wait for a slot here.
+     * A call that another entry received, counts against its workspace's limit, and passed on to wait for a slot here.
      *
      * @param request the call
      * @param caller takes the outcome for the other entry, once
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Whether it counts against its team's limit.
+     * Whether it counts against its workspace's limit.
      *
      * @return true from its first attempt on
      */
@@ -84,7 +84,7 @@
         return admitted;
     }
 
-    /** Counts it against its team's limit from now on. */
+    /** Counts it against its workspace's limit from now on. */
     public void admit() {
         admitted = true;
     }
--- a/entry/src/main/java/org/lovagegrade/entry/calls/internal/WaitingLine.java
+++ b/entry/src/main/java/org/lovagegrade/entry/calls/internal/WaitingLine.java
@@ -11,13 +11,13 @@
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
-/** Calls that wait for a slot, by service and team; within a team the one with the least slack goes first. */
+/** Calls that wait for a slot, by service and workspace; within a workspace the one with the least slack goes first. */
 public final class WaitingLine {
     private static final Comparator<Waiting> BY_SLACK =
             Comparator.comparingLong(Waiting::startByMs).thenComparingLong(Waiting::sequence);
 
     private final Map<String, TreeMap<String, TreeSet<Waiting>>> byService = new HashMap<>();
-    private final Map<String, Long> waitingByTeam = new HashMap<>();
+    private final Map<String, Long> waitingByWorkspace = new HashMap<>();
     private long nextSequence;
     private int size;
 
@@ -25,7 +25,7 @@
     private record Waiting(long startByMs, long sequence, PendingCall call) {}
 
     /**
-     * Adds a call; one that is admitted already goes before all others of its team.
+     * Adds a call; one that is admitted already goes before all others of its workspace.
      *
      * @param call the call
      */
@@ -33,32 +33,32 @@
         long startByMs = call.isAdmitted() ? Long.MIN_VALUE : call.request().startByMs();
         byService
                 .computeIfAbsent(call.request().service(), _service -> new TreeMap<>())
-                .computeIfAbsent(call.request().team(), _team -> new TreeSet<>(BY_SLACK))
+                .computeIfAbsent(call.request().workspace(), _workspace -> new TreeSet<>(BY_SLACK))
                 .add(new Waiting(startByMs, nextSequence++, call));
-        waitingByTeam.merge(call.request().team(), 1L, Long::sum);
+        waitingByWorkspace.merge(call.request().workspace(), 1L, Long::sum);
         size++;
     }
 
     /**
-     * Takes the call that goes next: of the team that uses the least of its share among those that may start.
+     * Takes the call that goes next: of the workspace that uses the least of its share among those that may start.
      *
      * @param service the service that has room
      * @param guestsToo whether calls of other entries may be taken
-     * @param mayStart whether a call's team may start one more
-     * @param useOfShare how much of its share a team uses
+     * @param mayStart whether a call's workspace may start one more
+     * @param useOfShare how much of its share a workspace uses
      * @return the call, or null
      */
     public PendingCall takeNext(
             String service, boolean guestsToo, Predicate<PendingCall> mayStart, ToDoubleFunction<String> useOfShare) {
         Waiting best = null;
         double bestUse = Double.POSITIVE_INFINITY;
-        for (Map.Entry<String, TreeSet<Waiting>> team :
+        for (Map.Entry<String, TreeSet<Waiting>> workspace :
                 byService.getOrDefault(service, new TreeMap<>()).entrySet()) {
-            Waiting first = first(team.getValue(), guestsToo);
+            Waiting first = first(workspace.getValue(), guestsToo);
             if (first == null) {
                 continue;
             }
-            double use = useOfShare.applyAsDouble(team.getKey());
+            double use = useOfShare.applyAsDouble(workspace.getKey());
             if (mayStart.test(first.call()) && (best == null || use < bestUse)) {
                 best = first;
                 bestUse = use;
@@ -79,8 +79,8 @@
      */
     public List<PendingCall> takeOverdue(long nowMs) {
         List<Waiting> overdue = new ArrayList<>();
-        for (TreeMap<String, TreeSet<Waiting>> teams : byService.values()) {
-            for (TreeSet<Waiting> line : teams.values()) {
+        for (TreeMap<String, TreeSet<Waiting>> workspaces : byService.values()) {
+            for (TreeSet<Waiting> line : workspaces.values()) {
                 for (Waiting waiting : line) {
                     if (nowMs >= limitMs(waiting)) {
                         overdue.add(waiting);
@@ -105,13 +105,13 @@
     }
 
     /**
-     * How many calls of a team wait.
+     * How many calls of a workspace wait.
      *
-     * @param team the team's id
+     * @param workspace the workspace's id
      * @return the number
      */
-    public long waiting(String team) {
-        return waitingByTeam.getOrDefault(team, 0L);
+    public long waiting(String workspace) {
+        return waitingByWorkspace.getOrDefault(workspace, 0L);
     }
 
     /**
@@ -140,17 +140,17 @@
 
     private void remove(Waiting waiting) {
         String service = waiting.call().request().service();
-        String team = waiting.call().request().team();
-        TreeMap<String, TreeSet<Waiting>> teams = byService.get(service);
-        TreeSet<Waiting> line = teams.get(team);
+        String workspace = waiting.call().request().workspace();
+        TreeMap<String, TreeSet<Waiting>> workspaces = byService.get(service);
+        TreeSet<Waiting> line = workspaces.get(workspace);
         line.remove(waiting);
         if (line.isEmpty()) {
-            teams.remove(team);
+            workspaces.remove(workspace);
         }
-        if (teams.isEmpty()) {
+        if (workspaces.isEmpty()) {
             byService.remove(service);
         }
-        waitingByTeam.merge(team, -1L, Long::sum);
+        waitingByWorkspace.merge(workspace, -1L, Long::sum);
         size--;
     }
 }
--- a/entry/src/main/java/org/lovagegrade/entry/http/CallHandler.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/CallHandler.java
@@ -21,8 +21,8 @@
 import org.lovagegrade.kernel.KeyDigest;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.wire.proto.HeaderProto;
-import org.lovagegrade.wire.proto.TeamKeyProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
+import org.lovagegrade.wire.proto.WorkspaceKeyProto;
 
 /** Takes calls in: checks the key before a byte is passed on, and answers with what is true. */
 final class CallHandler {
@@ -62,26 +62,27 @@
             return;
         }
         String digest = KeyDigest.of(request.header(ApiHeaders.KEY));
-        boolean isOpen = digest.isEmpty() && !workClass.get().getOpenTeam().isEmpty();
+        boolean isOpen = digest.isEmpty() && !workClass.get().getOpenWorkspace().isEmpty();
         if (!isOpen && !views.isFresh()) {
             refuse(CallRefusal.VIEW_LEASE_EXPIRED, reply);
             return;
         }
-        Optional<TeamKeyProto> key = view.key(digest);
+        Optional<WorkspaceKeyProto> key = view.key(digest);
         if (!isOpen && key.isEmpty()) {
             refuse(CallRefusal.WRONG_KEY, reply);
             return;
         }
-        String team = isOpen ? workClass.get().getOpenTeam() : key.get().getTeam();
+        String workspace =
+                isOpen ? workClass.get().getOpenWorkspace() : key.get().getWorkspace();
         String deadline = request.header(ApiHeaders.DEADLINE_MS);
         if (!deadline.isEmpty() && !deadline.matches("[1-9][0-9]{0,8}")) {
             refuse(CallRefusal.BAD_REQUEST, reply);
             return;
         }
-        CallRequest call = toCall(request, team, workClass.get(), deadline);
+        CallRequest call = toCall(request, workspace, workClass.get(), deadline);
         Log.event("keyUse")
-                .with("key", key.map(TeamKeyProto::getId).orElse(""))
-                .with("team", team)
+                .with("key", key.map(WorkspaceKeyProto::getId).orElse(""))
+                .with("team", workspace)
                 .with("call", call.id())
                 .info();
         calls.submit(call, outcome -> reply.accept(toAnswer(outcome)));
@@ -93,7 +94,7 @@
         reply.accept(ApiAnswer.refused(statusFor(reason), reason.text(), "the call did not run"));
     }
 
-    private CallRequest toCall(ApiRequest request, String team, WorkClassProto workClass, String deadline) {
+    private CallRequest toCall(ApiRequest request, String workspace, WorkClassProto workClass, String deadline) {
         long nowMs = clock.nowMs();
         long waitMs = deadline.isEmpty() ? DEFAULT_DEADLINE_MS : Long.parseLong(deadline);
         long deadlineMs = nowMs + Math.min(waitMs, LONGEST_DEADLINE_MS);
@@ -105,7 +106,7 @@
         HttpString method = request.exchange().getRequestMethod();
         return new CallRequest(
                 UUID.randomUUID().toString(),
-                team,
+                workspace,
                 workClass.getId(),
                 service,
                 method.toString(),
@@ -155,7 +156,7 @@
             case WRONG_KEY -> StatusCodes.UNAUTHORIZED;
             case UNKNOWN_CLASS, BAD_REQUEST -> StatusCodes.BAD_REQUEST;
             case BODY_TOO_LARGE -> StatusCodes.REQUEST_ENTITY_TOO_LARGE;
-            case TEAM_AT_LIMIT, LINE_FULL -> StatusCodes.TOO_MANY_REQUESTS;
+            case WORKSPACE_AT_LIMIT, LINE_FULL -> StatusCodes.TOO_MANY_REQUESTS;
             default -> StatusCodes.SERVICE_UNAVAILABLE;
         };
     }
--- a/entry/src/main/java/org/lovagegrade/entry/http/ConfigHandlers.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/ConfigHandlers.java
@@ -15,11 +15,11 @@
 import org.lovagegrade.wire.proto.CommandProto;
 import org.lovagegrade.wire.proto.ConfigChangeProto;
 import org.lovagegrade.wire.proto.ConfigureProto;
-import org.lovagegrade.wire.proto.TeamKeyProto;
-import org.lovagegrade.wire.proto.TeamProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
+import org.lovagegrade.wire.proto.WorkspaceKeyProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
-/** Changes and shows teams, classes and keys; for operators only. */
+/** Changes and shows workspaces, classes and keys; for operators only. */
 final class ConfigHandlers {
     private static final double MOST_CORES = 1e9;
     private static final double MILLI_CORES_PER_CORE = 1_000;
@@ -37,7 +37,7 @@
         this.views = views;
     }
 
-    void setTeam(ApiRequest request, Consumer<ApiAnswer> reply) throws SettingsException {
+    void setWorkspace(ApiRequest request, Consumer<ApiAnswer> reply) throws SettingsException {
         Settings body = request.json();
         OptionalDouble share = body.decimal("share", 0, 1, "part of the cell");
         OptionalDouble cores = body.decimal("limitCores", 0, MOST_CORES, "cores");
@@ -45,17 +45,17 @@
         OptionalLong accelerators = body.whole("limitAccelerators", 0, MOST_AMOUNT, "accelerators");
         OptionalLong calls = body.whole("limitCalls", 0, MOST_AMOUNT, "calls in flight");
         body.finish();
-        TeamProto.Builder team = TeamProto.newBuilder().setId(request.pathPart("id"));
-        share.ifPresent(team::setShare);
-        cores.ifPresent(value -> team.setLimitMilliCores(Math.round(value * MILLI_CORES_PER_CORE)));
-        memoryMb.ifPresent(team::setLimitMemoryMb);
-        accelerators.ifPresent(team::setLimitAccelerators);
-        calls.ifPresent(team::setLimitCalls);
-        change(request, ConfigChangeProto.newBuilder().setSetTeam(team), reply);
+        WorkspaceProto.Builder workspace = WorkspaceProto.newBuilder().setId(request.pathPart("id"));
+        share.ifPresent(workspace::setShare);
+        cores.ifPresent(value -> workspace.setLimitMilliCores(Math.round(value * MILLI_CORES_PER_CORE)));
+        memoryMb.ifPresent(workspace::setLimitMemoryMb);
+        accelerators.ifPresent(workspace::setLimitAccelerators);
+        calls.ifPresent(workspace::setLimitCalls);
+        change(request, ConfigChangeProto.newBuilder().setSetWorkspace(workspace), reply);
     }
 
-    void removeTeam(ApiRequest request, Consumer<ApiAnswer> reply) {
-        change(request, ConfigChangeProto.newBuilder().setRemoveTeam(request.pathPart("id")), reply);
+    void removeWorkspace(ApiRequest request, Consumer<ApiAnswer> reply) {
+        change(request, ConfigChangeProto.newBuilder().setRemoveWorkspace(request.pathPart("id")), reply);
     }
 
     void setClass(ApiRequest request, Consumer<ApiAnswer> reply) throws SettingsException {
@@ -64,7 +64,7 @@
         OptionalLong waitTargetMs = body.whole("waitTargetMs", 1, MOST_TARGET_MS, "milliseconds");
         OptionalLong recoveryTargetMs = body.whole("recoveryTargetMs", 1, MOST_TARGET_MS, "milliseconds");
         OptionalLong shareTargetMs = body.whole("shareTargetMs", 1, MOST_TARGET_MS, "milliseconds");
-        String openTeam = body.optionalText("openTeam", "a team's id").orElse("");
+        String openWorkspace = body.optionalText("openTeam", "a team's id").orElse("");
         ClassKindProto parsed = switch (kind) {
             case "service" -> ClassKindProto.SERVICE;
             case "batch" -> ClassKindProto.BATCH;
@@ -78,7 +78,7 @@
         WorkClassProto.Builder workClass = WorkClassProto.newBuilder()
                 .setId(request.pathPart("id"))
                 .setKind(parsed)
-                .setOpenTeam(openTeam);
+                .setOpenWorkspace(openWorkspace);
         waitTargetMs.ifPresent(workClass::setWaitTargetMs);
         recoveryTargetMs.ifPresent(workClass::setRecoveryTargetMs);
         shareTargetMs.ifPresent(workClass::setShareTargetMs);
@@ -91,15 +91,15 @@
 
     void giveKey(ApiRequest request, Consumer<ApiAnswer> reply) throws SettingsException {
         Settings body = request.json();
-        String team = body.text("team", "a team's id");
+        String workspace = body.text("team", "a team's id");
         String digest = body.text("secretSha256", "the SHA-256 of the secret in 64 hexadecimal digits");
         if (digest.length() != DIGEST_DIGITS) {
             body.reject("secretSha256", digest, "64 hexadecimal digits");
         }
         body.finish();
-        TeamKeyProto key = TeamKeyProto.newBuilder()
+        WorkspaceKeyProto key = WorkspaceKeyProto.newBuilder()
                 .setId(request.pathPart("id"))
-                .setTeam(team)
+                .setWorkspace(workspace)
                 .setSecretSha256(digest)
                 .build();
         change(request, ConfigChangeProto.newBuilder().setGiveKey(key), reply);
@@ -116,8 +116,8 @@
         }
         View view = views.view();
         ObjectNode body = ApiAnswer.object().put("revision", view.revision()).put("inForce", views.isFresh());
-        ArrayNode teams = body.putArray("teams");
-        view.config().getTeamsList().forEach(team -> describe(team, teams.addObject()));
+        ArrayNode workspaces = body.putArray("teams");
+        view.config().getWorkspacesList().forEach(workspace -> describe(workspace, workspaces.addObject()));
         ArrayNode classes = body.putArray("classes");
         view.config().getClassesList().forEach(workClass -> describe(workClass, classes.addObject()));
         ArrayNode keys = body.putArray("keys");
@@ -125,31 +125,31 @@
                 .getKeysList()
                 .forEach(key -> keys.addObject()
                         .put("id", key.getId())
-                        .put("team", key.getTeam())
+                        .put("team", key.getWorkspace())
                         .put("revision", key.getRevision()));
         reply.accept(ApiAnswer.ok(body));
     }
 
-    private static void describe(TeamProto team, ObjectNode node) {
-        node.put("id", team.getId()).put("share", team.getShare()).put("revision", team.getRevision());
-        if (team.hasLimitMilliCores()) {
-            node.put("limitCores", team.getLimitMilliCores() / MILLI_CORES_PER_CORE);
+    private static void describe(WorkspaceProto workspace, ObjectNode node) {
+        node.put("id", workspace.getId()).put("share", workspace.getShare()).put("revision", workspace.getRevision());
+        if (workspace.hasLimitMilliCores()) {
+            node.put("limitCores", workspace.getLimitMilliCores() / MILLI_CORES_PER_CORE);
         }
-        if (team.hasLimitMemoryMb()) {
-            node.put("limitMemoryMb", team.getLimitMemoryMb());
+        if (workspace.hasLimitMemoryMb()) {
+            node.put("limitMemoryMb", workspace.getLimitMemoryMb());
         }
-        if (team.hasLimitAccelerators()) {
-            node.put("limitAccelerators", team.getLimitAccelerators());
+        if (workspace.hasLimitAccelerators()) {
+            node.put("limitAccelerators", workspace.getLimitAccelerators());
         }
-        if (team.hasLimitCalls()) {
-            node.put("limitCalls", team.getLimitCalls());
+        if (workspace.hasLimitCalls()) {
+            node.put("limitCalls", workspace.getLimitCalls());
         }
     }
 
     private static void describe(WorkClassProto workClass, ObjectNode node) {
         node.put("id", workClass.getId())
                 .put("kind", workClass.getKind().name().toLowerCase(Locale.ROOT))
-                .put("openTeam", workClass.getOpenTeam())
+                .put("openTeam", workClass.getOpenWorkspace())
                 .put("revision", workClass.getRevision());
         if (workClass.hasWaitTargetMs()) {
             node.put("waitTargetMs", workClass.getWaitTargetMs());
--- a/entry/src/main/java/org/lovagegrade/entry/http/EntryHttp.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/EntryHttp.java
@@ -123,8 +123,8 @@
     private RoutingHandler routes(
             ConfigHandlers config, JobHandlers jobs, CallHandler call, PlatformHandlers platform) {
         RoutingHandler routes = new RoutingHandler();
-        add(routes, Methods.PUT, "/v1/teams/{id}", config::setTeam);
-        add(routes, Methods.DELETE, "/v1/teams/{id}", config::removeTeam);
+        add(routes, Methods.PUT, "/v1/teams/{id}", config::setWorkspace);
+        add(routes, Methods.DELETE, "/v1/teams/{id}", config::removeWorkspace);
         add(routes, Methods.PUT, "/v1/classes/{id}", config::setClass);
         add(routes, Methods.DELETE, "/v1/classes/{id}", config::removeClass);
         add(routes, Methods.PUT, "/v1/keys/{id}", config::giveKey);
--- a/entry/src/main/java/org/lovagegrade/entry/http/JobHandlers.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/JobHandlers.java
@@ -26,7 +26,7 @@
 import org.lovagegrade.wire.proto.SubmitProto;
 import org.lovagegrade.wire.proto.TaskProto;
 import org.lovagegrade.wire.proto.TaskStateProto;
-import org.lovagegrade.wire.proto.TeamKeyProto;
+import org.lovagegrade.wire.proto.WorkspaceKeyProto;
 
 /** Takes jobs in, cancels, shows and explains them. */
 final class JobHandlers {
@@ -70,7 +70,7 @@
         }
         Log.event("submit")
                 .with("job", spec.getId())
-                .with("team", spec.getTeam())
+                .with("team", spec.getWorkspace())
                 .with("requestId", requestId)
                 .info();
         SubmitProto submit =
@@ -133,7 +133,7 @@
         if (!id.isEmpty() && !Ids.isGood(id)) {
             body.reject("id", id, Ids.EXPECTED);
         }
-        String team = body.optionalText("team", "a team's id").orElse("");
+        String workspace = body.optionalText("team", "a team's id").orElse("");
         String workClass = body.text("class", "a class's id");
         int tasks = body.integer("tasks", 1, 1, MOST_TASKS, "tasks");
         double cores = body.decimal("cores", 0, MOST_CORES, "cores").orElse(0);
@@ -154,7 +154,7 @@
                 .build();
         return JobSpecProto.newBuilder()
                 .setId(id)
-                .setTeam(team)
+                .setWorkspace(workspace)
                 .setWorkClass(workClass)
                 .setTasks(tasks)
                 .setPerTask(perTask)
@@ -163,15 +163,15 @@
                 .setSubmittedAtMs(wallClock.nowMs());
     }
 
-    /** Refuses work without a key in force before anyone else hears of it; fills in the key's team. */
+    /** Refuses work without a key in force before anyone else hears of it; fills in the key's workspace. */
     private Optional<ApiAnswer> admit(JobSpecProto.Builder spec, String digest) {
-        String openTeam = views.view()
+        String openWorkspace = views.view()
                 .workClass(spec.getWorkClass())
-                .map(found -> found.getOpenTeam())
+                .map(found -> found.getOpenWorkspace())
                 .orElse("");
-        if (digest.isEmpty() && !openTeam.isEmpty()) {
-            if (spec.getTeam().isEmpty()) {
-                spec.setTeam(openTeam);
+        if (digest.isEmpty() && !openWorkspace.isEmpty()) {
+            if (spec.getWorkspace().isEmpty()) {
+                spec.setWorkspace(openWorkspace);
             }
             return Optional.empty();
         }
@@ -182,17 +182,17 @@
                     StatusCodes.SERVICE_UNAVAILABLE,
                     "this entry has no proof of the keys in force; try another"));
         }
-        Optional<TeamKeyProto> key = views.view().key(digest);
+        Optional<WorkspaceKeyProto> key = views.view().key(digest);
         if (key.isEmpty()) {
             return Optional.of(
                     refused(spec, CallRefusal.WRONG_KEY, StatusCodes.UNAUTHORIZED, "expected: a key in force"));
         }
-        if (spec.getTeam().isEmpty()) {
-            spec.setTeam(key.get().getTeam());
+        if (spec.getWorkspace().isEmpty()) {
+            spec.setWorkspace(key.get().getWorkspace());
         }
         Log.event("keyUse")
                 .with("key", key.get().getId())
-                .with("team", key.get().getTeam())
+                .with("team", key.get().getWorkspace())
                 .with("job", spec.getId())
                 .info();
         return Optional.empty();
@@ -223,7 +223,7 @@
                 .filter(task -> task.getState() == TaskStateProto.TASK_HELD)
                 .count();
         node.put("id", spec.getId())
-                .put("team", spec.getTeam())
+                .put("team", spec.getWorkspace())
                 .put("class", spec.getWorkClass())
                 .put("state", job.getState().name().toLowerCase(Locale.ROOT))
                 .put("reason", job.getReason())
@@ -261,8 +261,8 @@
                 .put("text", explain.getText())
                 .put("waitedMs", explain.getWaitedMs())
                 .put("waitTargetMs", explain.getWaitTargetMs())
-                .put("teamShare", explain.getTeamShare())
-                .put("teamUse", explain.getTeamUse());
+                .put("teamShare", explain.getWorkspaceShare())
+                .put("teamUse", explain.getWorkspaceUse());
         return ApiAnswer.ok(node);
     }
 }
--- a/entry/src/main/java/org/lovagegrade/entry/view/View.java
+++ b/entry/src/main/java/org/lovagegrade/entry/view/View.java
@@ -4,20 +4,20 @@
 import java.util.Map;
 import java.util.Optional;
 import org.lovagegrade.wire.proto.ConfigViewProto;
-import org.lovagegrade.wire.proto.TeamKeyProto;
-import org.lovagegrade.wire.proto.TeamProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
+import org.lovagegrade.wire.proto.WorkspaceKeyProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /** The configuration at one revision, arranged for look-ups; immutable. */
 public final class View {
     private final ConfigViewProto config;
-    private final Map<String, TeamProto> teams = new HashMap<>();
+    private final Map<String, WorkspaceProto> workspaces = new HashMap<>();
     private final Map<String, WorkClassProto> classes = new HashMap<>();
-    private final Map<String, TeamKeyProto> keysByDigest = new HashMap<>();
+    private final Map<String, WorkspaceKeyProto> keysByDigest = new HashMap<>();
 
     private View(ConfigViewProto config) {
         this.config = config;
-        config.getTeamsList().forEach(team -> teams.put(team.getId(), team));
+        config.getWorkspacesList().forEach(workspace -> workspaces.put(workspace.getId(), workspace));
         config.getClassesList().forEach(workClass -> classes.put(workClass.getId(), workClass));
         config.getKeysList().forEach(key -> keysByDigest.put(key.getSecretSha256(), key));
     }
@@ -60,13 +60,13 @@
     }
 
     /**
-     * Finds a team.
+     * Finds a workspace.
      *
      * @param id its id
-     * @return the team, or empty
+     * @return the workspace, or empty
      */
-    public Optional<TeamProto> team(String id) {
-        return Optional.ofNullable(teams.get(id));
+    public Optional<WorkspaceProto> workspace(String id) {
+        return Optional.ofNullable(workspaces.get(id));
     }
 
     /**
@@ -85,7 +85,7 @@
      * @param digest the SHA-256 of its secret, in hexadecimal digits
      * @return the key, or empty if it is not known or was withdrawn
      */
-    public Optional<TeamKeyProto> key(String digest) {
+    public Optional<WorkspaceKeyProto> key(String digest) {
         return Optional.ofNullable(keysByDigest.get(digest));
     }
 }
--- a/entry/src/main/java/org/lovagegrade/entry/view/ViewKeeper.java
+++ b/entry/src/main/java/org/lovagegrade/entry/view/ViewKeeper.java
@@ -59,7 +59,7 @@
     /**
      * Sets where the use of call quota is read from.
      *
-     * @param source gives the use per team
+     * @param source gives the use per workspace
      */
     public void reportUses(Supplier<List<CallUseProto>> source) {
         this.uses = source;
@@ -93,27 +93,28 @@
     }
 
     /**
-     * The calls of a team that may be in flight from here.
+     * The calls of a workspace that may be in flight from here.
      *
-     * @param team the team's id
-     * @return the grant, zero once it has lapsed; empty for a team without a limit
+     * @param workspace the workspace's id
+     * @return the grant, zero once it has lapsed; empty for a workspace without a limit
      */
-    public OptionalLong grant(String team) {
-        boolean isLimited = view.team(team).map(found -> found.hasLimitCalls()).orElse(true);
+    public OptionalLong grant(String workspace) {
+        boolean isLimited =
+                view.workspace(workspace).map(found -> found.hasLimitCalls()).orElse(true);
         if (!isLimited) {
             return OptionalLong.empty();
         }
-        return OptionalLong.of(isFresh() ? grants.getOrDefault(team, 0L) : 0);
+        return OptionalLong.of(isFresh() ? grants.getOrDefault(workspace, 0L) : 0);
     }
 
     /**
      * The grants as last received, lapsed or not; what the leader must count.
      *
-     * @param team the team's id
+     * @param workspace the workspace's id
      * @return the grant
      */
-    public long lastGrant(String team) {
-        return grants.getOrDefault(team, 0L);
+    public long lastGrant(String workspace) {
+        return grants.getOrDefault(workspace, 0L);
     }
 
     /**
@@ -175,7 +176,7 @@
         leaseUntilMs = Math.max(leaseUntilMs, askedAtMs + reply.getLeaseMs());
         entries = List.copyOf(reply.getEntriesList());
         Map<String, Long> received = new HashMap<>();
-        reply.getGrantsList().forEach(grant -> received.put(grant.getTeam(), grant.getCalls()));
+        reply.getGrantsList().forEach(grant -> received.put(grant.getWorkspace(), grant.getCalls()));
         grants = received;
         listeners.forEach(Runnable::run);
     }
--- a/entry/src/test/java/org/lovagegrade/entry/calls/internal/WaitingLineTest.java
+++ b/entry/src/test/java/org/lovagegrade/entry/calls/internal/WaitingLineTest.java
@@ -12,21 +12,22 @@
 final class WaitingLineTest {
     private final WaitingLine line = new WaitingLine();
 
-    private PendingCall add(String id, String team, long startByMs) {
+    private PendingCall add(String id, String workspace, long startByMs) {
         CallRequest request = new CallRequest(
-                id, team, "fitting", "orders", "GET", "/", List.of(), ByteString.EMPTY, true, 10_000, startByMs);
+                id, workspace, "fitting", "orders", "GET", "/", List.of(), ByteString.EMPTY, true, 10_000, startByMs);
         PendingCall call = new PendingCall(request, _outcome -> {}, 0);
         line.add(call);
         return call;
     }
 
     private String takeNext(Map<String, Double> useOfShare) {
-        PendingCall call = line.takeNext("orders", true, _call -> true, team -> useOfShare.getOrDefault(team, 0.0));
+        PendingCall call =
+                line.takeNext("orders", true, _call -> true, workspace -> useOfShare.getOrDefault(workspace, 0.0));
         return call == null ? "" : call.request().id();
     }
 
     @Test
-    void shouldTakeTheTeamFurthestBelowItsShareFirst() {
+    void shouldTakeTheWorkspaceFurthestBelowItsShareFirst() {
         // given
         add("a", "norte", 100);
         add("b", "sur", 200);
@@ -36,7 +37,7 @@
     }
 
     @Test
-    void shouldTakeTheLeastSlackFirstWithinATeam() {
+    void shouldTakeTheLeastSlackFirstWithinAWorkspace() {
         // given
         add("late", "norte", 300);
         add("soon", "norte", 100);
@@ -48,14 +49,14 @@
     }
 
     @Test
-    void shouldPassOverTeamsThatMayNotStart() {
+    void shouldPassOverWorkspacesThatMayNotStart() {
         // given
         add("a", "norte", 100);
         add("b", "sur", 200);
 
         // when
         PendingCall call = line.takeNext(
-                "orders", true, waiting -> waiting.request().team().equals("sur"), _team -> 0);
+                "orders", true, waiting -> waiting.request().workspace().equals("sur"), _workspace -> 0);
 
         // then
         assertThat(call.request().id()).isEqualTo("b");
@@ -120,8 +121,8 @@
             add("late", "norte", 300);
 
             // when
-            PendingCall first = line.takeNext("orders", false, _call -> true, _team -> 0);
-            PendingCall second = line.takeNext("orders", false, _call -> true, _team -> 0);
+            PendingCall first = line.takeNext("orders", false, _call -> true, _workspace -> 0);
+            PendingCall second = line.takeNext("orders", false, _call -> true, _workspace -> 0);
 
             // then
             assertThat(first.request().id()).isEqualTo("late");
--- a/graph/src/main/java/org/lovagegrade/graph/leader/CallerDesk.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/CallerDesk.java
@@ -16,8 +16,8 @@
 import org.lovagegrade.wire.proto.GraphProto;
 import org.lovagegrade.wire.proto.GraphReplyProto;
 import org.lovagegrade.wire.proto.GraphStateProto;
+import org.lovagegrade.wire.proto.GraphWorkspaceProto;
 import org.lovagegrade.wire.proto.QueueProto;
-import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /** Answers callers on the leader: each answer follows from the committed state, each change is committed first. */
 final class CallerDesk {
@@ -59,7 +59,7 @@
             refuse(request, CallerOutcomeProto.CALLER_NO_QUEUE, "no queue has this host and path", reply);
             return;
         }
-        Optional<WorkspaceProto> workspace = document.get().workspaceOfKey(request.getKey());
+        Optional<GraphWorkspaceProto> workspace = document.get().workspaceOfKey(request.getKey());
         if (workspace.isEmpty() && !queue.get().getOpenToAll()) {
             refuse(request, CallerOutcomeProto.CALLER_UNKNOWN_KEY, "no workspace has this key", reply);
             return;
@@ -67,7 +67,8 @@
         String id = request.getPath().substring(queue.get().getPathPrefix().length());
         act(
                 request,
-                new Matter(queue.get(), workspace.map(WorkspaceProto::getName).orElse(""), id),
+                new Matter(
+                        queue.get(), workspace.map(GraphWorkspaceProto::getName).orElse(""), id),
                 reply);
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -31,13 +31,13 @@
 import org.lovagegrade.wire.proto.AdvicePollProto;
 import org.lovagegrade.wire.proto.AdviceQuestionProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphWorkspaceProto;
 import org.lovagegrade.wire.proto.QueueProto;
 import org.lovagegrade.wire.proto.RunEndProto;
 import org.lovagegrade.wire.proto.StartProto;
 import org.lovagegrade.wire.proto.StartsProto;
 import org.lovagegrade.wire.proto.WorkerGoneProto;
 import org.lovagegrade.wire.proto.WorkerProto;
-import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /** What a leader does for one term: it plans starts, drives the workers and asks for advice. */
 final class GraphLeader implements MachineListener {
@@ -404,7 +404,7 @@
                     Room::plus);
         }
         machine.document().ifPresent(document -> {
-            for (WorkspaceProto workspace : document.proto().getWorkspacesList()) {
+            for (GraphWorkspaceProto workspace : document.proto().getWorkspacesList()) {
                 String name = workspace.getName();
                 Room running = machine.usedBy(name).plus(beingStarted.getOrDefault(name, Room.NONE));
                 quotas.add(name, Room.of(workspace.getLimit()), running);
--- a/graph/src/main/java/org/lovagegrade/graph/machine/FleetDocument.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/FleetDocument.java
@@ -4,18 +4,18 @@
 import java.util.Map;
 import java.util.Optional;
 import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.GraphWorkspaceProto;
 import org.lovagegrade.wire.proto.QueueProto;
-import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /** The desired state of one version, with its lookups. */
 public final class FleetDocument {
     private final FleetDocumentProto proto;
-    private final Map<String, WorkspaceProto> byKey = new HashMap<>();
-    private final Map<String, WorkspaceProto> byName = new HashMap<>();
+    private final Map<String, GraphWorkspaceProto> byKey = new HashMap<>();
+    private final Map<String, GraphWorkspaceProto> byName = new HashMap<>();
 
     private FleetDocument(FleetDocumentProto proto) {
         this.proto = proto;
-        for (WorkspaceProto workspace : proto.getWorkspacesList()) {
+        for (GraphWorkspaceProto workspace : proto.getWorkspacesList()) {
             byName.put(workspace.getName(), workspace);
             workspace.getKeysList().forEach(key -> byKey.put(key, workspace));
         }
@@ -46,7 +46,7 @@
      * @param key the key
      * @return the workspace, or empty for an unknown key
      */
-    public Optional<WorkspaceProto> workspaceOfKey(String key) {
+    public Optional<GraphWorkspaceProto> workspaceOfKey(String key) {
         return Optional.ofNullable(byKey.get(key));
     }
 
@@ -56,7 +56,7 @@
      * @param name its name
      * @return the workspace, or empty
      */
-    public Optional<WorkspaceProto> workspace(String name) {
+    public Optional<GraphWorkspaceProto> workspace(String name) {
         return Optional.ofNullable(byName.get(name));
     }
 
--- a/integration-tests/src/test/java/org/lovagegrade/integration/Api.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/Api.java
@@ -95,7 +95,7 @@
         return new Reply(whole.status(), whole.header("Lovagegrade-Outcome"), whole.text(), parse(whole.text()));
     }
 
-    /** The team, classes and key that most tests need. */
+    /** The workspace, classes and key that most tests need. */
     void createBasics() {
         Await.until(
                 "the team is created",
--- a/integration-tests/src/test/java/org/lovagegrade/integration/CallsTest.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/CallsTest.java
@@ -84,7 +84,7 @@
         return fleet.api("e" + (1 + Math.floorMod(number, 3)));
     }
 
-    private void setTeam(String body) {
+    private void setWorkspace(String body) {
         long base = fleet.api("e1")
                 .config()
                 .json()
@@ -151,10 +151,10 @@
         }
 
         @Test
-        void shouldNeverPassATeamsLimitAcrossAllEntries() {
+        void shouldNeverPassAWorkspacesLimitAcrossAllEntries() {
             // given
             int limit = 5;
-            setTeam("{\"share\": 0.5, \"limitCalls\": " + limit + "}");
+            setWorkspace("{\"share\": 0.5, \"limitCalls\": " + limit + "}");
             FakeEndpoint endpoint = endpoint("endpoint-1", "d1", 32);
             fleet.entryNames().forEach(CallsTest.this::awaitCallable);
 
--- a/integration-tests/src/test/java/org/lovagegrade/integration/ConfigurationTest.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/ConfigurationTest.java
@@ -26,7 +26,7 @@
     @TempDir
     private Path folder;
 
-    private static long teamRevision(Fleet fleet, String entry) {
+    private static long workspaceRevision(Fleet fleet, String entry) {
         return fleet.api(entry)
                 .config()
                 .json()
@@ -52,7 +52,7 @@
             for (int round = 0; round < 6; round++) {
                 // given
                 long base = Await.value("the present revision", () -> {
-                    long revision = teamRevision(fleet, "e1");
+                    long revision = workspaceRevision(fleet, "e1");
                     return revision == 0 ? null : revision;
                 });
                 String id = "race-" + round + "-";
@@ -86,7 +86,7 @@
                         .json()
                         .path("revision")
                         .asLong();
-                Await.until("the change is in force", () -> teamRevision(fleet, "e1") == won);
+                Await.until("the change is in force", () -> workspaceRevision(fleet, "e1") == won);
             }
         }
     }
@@ -193,7 +193,7 @@
             String down = fleet.follower();
             fleet.program(down).kill();
             fleet.program("e2").kill();
-            long revision = teamRevision(fleet, "e1");
+            long revision = workspaceRevision(fleet, "e1");
             for (int i = 0; i < 500; i++) {
                 String share = "0." + (100 + i);
                 Api.Reply reply = setShare(fleet, "e1", "change-" + i, revision, share);
@@ -210,7 +210,7 @@
             Await.until("e2 serves", () -> {
                 boolean serves = fleet.api("e2").get("/healthz").status() == 200;
                 if (serves) {
-                    served.add(teamRevision(fleet, "e2"));
+                    served.add(workspaceRevision(fleet, "e2"));
                 }
                 return serves;
             });
@@ -229,7 +229,7 @@
             // given
             fleet.createBasics();
             List<Long> lastSeen = new ArrayList<>(List.of(0L, 0L, 0L));
-            long revision = teamRevision(fleet, "e1");
+            long revision = workspaceRevision(fleet, "e1");
 
             // when
             for (int i = 0; i < 40; i++) {
@@ -257,7 +257,7 @@
             long last = revision;
             fleet.entryNames()
                     .forEach(entry -> Await.until(
-                            "the last change is in force at " + entry, () -> teamRevision(fleet, entry) == last));
+                            "the last change is in force at " + entry, () -> workspaceRevision(fleet, entry) == last));
         }
     }
 }
--- a/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
+++ b/integration-tests/src/test/java/org/lovagegrade/integration/Fleet.java
@@ -121,7 +121,7 @@
                 entry + " serves keyed work", () -> api(entry).get("/healthz").status() == 200);
     }
 
-    /** Creates the team, classes and key that most tests need, and waits until they are in force everywhere. */
+    /** Creates the workspace, classes and key that most tests need, and waits until they are in force everywhere. */
     void createBasics() {
         api(entryNames().get(0)).createBasics();
         for (String entry : entryNames()) {
--- a/replay/src/main/java/org/lovagegrade/replay/internal/Audit.java
+++ b/replay/src/main/java/org/lovagegrade/replay/internal/Audit.java
@@ -15,7 +15,7 @@
 
 /**
  * Checks every decision against the promises, from the decisions and the trace alone: no worker holds more than it has,
- * no task is in two places, no team is placed above its limit, a gang is placed whole, nothing is placed of a cancelled
+ * no task is in two places, no workspace is placed above its limit, a gang is placed whole, nothing is placed of a cancelled
  * job.
  */
 final class Audit {
@@ -23,7 +23,7 @@
 
     private final Map<String, Resources> capacity = new HashMap<>();
     private final Map<String, Resources> heldOnWorker = new HashMap<>();
-    private final Map<String, Resources> heldByTeam = new HashMap<>();
+    private final Map<String, Resources> heldByWorkspace = new HashMap<>();
     private final Map<String, Limits> limits = new HashMap<>();
     private final Map<String, String> placeOfTask = new HashMap<>();
     private final Map<String, Integer> lastAttempt = new HashMap<>();
@@ -40,8 +40,8 @@
         silent.add(worker);
     }
 
-    void limits(String team, Limits stated) {
-        limits.put(team, stated);
+    void limits(String workspace, Limits stated) {
+        limits.put(workspace, stated);
     }
 
     void check(long atMs, Decision decision, ReplayedJob job) {
@@ -100,13 +100,14 @@
                 capacity.getOrDefault(worker, Resources.NONE).covers(onWorker),
                 atMs,
                 "worker " + worker + " holds " + onWorker + ", has " + capacity.get(worker));
-        String team = job.line.job().team();
-        Resources ofTeam = heldByTeam.getOrDefault(team, Resources.NONE).plus(job.perTask());
-        heldByTeam.put(team, ofTeam);
+        String workspace = job.line.job().workspace();
+        Resources ofWorkspace =
+                heldByWorkspace.getOrDefault(workspace, Resources.NONE).plus(job.perTask());
+        heldByWorkspace.put(workspace, ofWorkspace);
         require(
-                limits.getOrDefault(team, Limits.UNLIMITED).allow(ofTeam),
+                limits.getOrDefault(workspace, Limits.UNLIMITED).allow(ofWorkspace),
                 atMs,
-                "team " + team + " holds " + ofTeam + " above its limit");
+                "team " + workspace + " holds " + ofWorkspace + " above its limit");
     }
 
     private void checkRelease(long atMs, Decision decision, ReplayedJob job, String task) {
@@ -116,7 +117,7 @@
         if (isHeld) {
             placeOfTask.remove(task);
             heldOnWorker.computeIfPresent(decision.worker(), (_id, held) -> held.minus(job.perTask()));
-            heldByTeam.computeIfPresent(job.line.job().team(), (_id, held) -> held.minus(job.perTask()));
+            heldByWorkspace.computeIfPresent(job.line.job().workspace(), (_id, held) -> held.minus(job.perTask()));
         }
     }
 
--- a/replay/src/main/java/org/lovagegrade/replay/internal/Measures.java
+++ b/replay/src/main/java/org/lovagegrade/replay/internal/Measures.java
@@ -8,11 +8,11 @@
 import org.lovagegrade.core.Resources;
 import org.lovagegrade.core.internal.EngineView;
 
-/** Sums over time: packing while work waits, and what each team misses to its share while the cell is full. */
+/** Sums over time: packing while work waits, and what each workspace misses to its share while the cell is full. */
 final class Measures {
     private static final int MOST_SAMPLES = 2_000;
 
-    private final Map<String, TeamSum> teams = new TreeMap<>();
+    private final Map<String, WorkspaceSum> workspaces = new TreeMap<>();
     private final List<Sample> samples = new ArrayList<>();
     private double packingMs;
     private long waitingMs;
@@ -23,10 +23,10 @@
     private long sampleIntervalMs = 100;
 
     /** What a plot shows of one time. */
-    record Sample(long atMs, double packing, Map<String, Double> useByTeam) {}
+    record Sample(long atMs, double packing, Map<String, Double> useByWorkspace) {}
 
-    /** The sums of one team. */
-    private static final class TeamSum {
+    /** The sums of one workspace. */
+    private static final class WorkspaceSum {
         private double share;
         private double missingMs;
         private long countedMs;
@@ -45,7 +45,7 @@
             packingMs += packingNow * passedMs;
             waitingMs += passedMs;
         }
-        for (TeamSum sum : teams.values()) {
+        for (WorkspaceSum sum : workspaces.values()) {
             if (sum.countedNow) {
                 sum.missingMs += sum.missingNow * passedMs;
                 sum.countedMs += passedMs;
@@ -54,22 +54,23 @@
     }
 
     /** Notes the values that hold from now on. */
-    void note(long atMs, EngineView view, Resources placed, boolean waiting, Map<String, Resources> wantedByTeam) {
+    void note(long atMs, EngineView view, Resources placed, boolean waiting, Map<String, Resources> wantedByWorkspace) {
         Resources living = view.living();
         packingNow = placed.dominantShareOf(living);
         waitingNow = waiting;
         boolean[] full = {false};
-        view.forEachTeam(team -> full[0] |= team.waitsForRoom());
+        view.forEachWorkspace(workspace -> full[0] |= workspace.waitsForRoom());
         Map<String, Double> uses = new HashMap<>();
-        view.forEachTeam(team -> {
-            double use = team.used().dominantShareOf(living);
-            uses.put(team.id(), use);
-            TeamSum sum = teams.computeIfAbsent(team.id(), _id -> new TeamSum());
-            sum.share = team.share();
-            sum.countedNow = full[0] && team.waiting();
-            Resources wanted = wantedByTeam.getOrDefault(team.id(), Resources.NONE);
-            Resources reachableUse = team.limits().most().min(team.used().plus(wanted));
-            double reachable = Math.min(team.share(), reachableUse.dominantShareOf(living));
+        view.forEachWorkspace(workspace -> {
+            double use = workspace.used().dominantShareOf(living);
+            uses.put(workspace.id(), use);
+            WorkspaceSum sum = workspaces.computeIfAbsent(workspace.id(), _id -> new WorkspaceSum());
+            sum.share = workspace.share();
+            sum.countedNow = full[0] && workspace.waiting();
+            Resources wanted = wantedByWorkspace.getOrDefault(workspace.id(), Resources.NONE);
+            Resources reachableUse =
+                    workspace.limits().most().min(workspace.used().plus(wanted));
+            double reachable = Math.min(workspace.share(), reachableUse.dominantShareOf(living));
             sum.missingNow = Math.max(0, reachable - use);
         });
         sample(atMs, uses);
@@ -79,10 +80,10 @@
         return waitingMs == 0 ? 0 : packingMs / waitingMs;
     }
 
-    /** The mean of what each team missed, for teams that ever waited in a full cell. */
+    /** The mean of what each workspace missed, for workspaces that ever waited in a full cell. */
     Map<String, Double> shareDistances() {
         Map<String, Double> distances = new TreeMap<>();
-        teams.forEach((id, sum) -> distances.put(id, sum.countedMs == 0 ? 0 : sum.missingMs / sum.countedMs));
+        workspaces.forEach((id, sum) -> distances.put(id, sum.countedMs == 0 ? 0 : sum.missingMs / sum.countedMs));
         return distances;
     }
 
--- a/replay/src/main/java/org/lovagegrade/replay/internal/ReplayLoop.java
+++ b/replay/src/main/java/org/lovagegrade/replay/internal/ReplayLoop.java
@@ -26,9 +26,9 @@
 import org.lovagegrade.core.Reason;
 import org.lovagegrade.core.Resources;
 import org.lovagegrade.core.Scheduler;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.WorkClass;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 import org.lovagegrade.core.lease.LeaseTable;
 import org.lovagegrade.replay.trace.TraceLine;
 
@@ -52,14 +52,14 @@
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingLong(Due::atMs).thenComparingLong(Due::sequence));
     private final Map<String, Worker> workers = new HashMap<>();
-    private final Map<String, Team> teams = new HashMap<>();
+    private final Map<String, Workspace> workspaces = new HashMap<>();
     private final Map<String, WorkClass> classes = new HashMap<>();
     private final Map<String, ReplayedJob> jobs = new LinkedHashMap<>();
     private final Map<Attempt, LiveAttempt> live = new LinkedHashMap<>();
     private final Map<String, Set<Attempt>> liveByWorker = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
     private final Set<String> failing = new HashSet<>();
-    private final Map<String, Resources> wantedByTeam = new HashMap<>();
+    private final Map<String, Resources> wantedByWorkspace = new HashMap<>();
     private final Audit audit = new Audit();
     private final Measures measures = new Measures();
     private final Histogram decisionUs = new Histogram(MOST_DECISION_US, 3);
@@ -128,7 +128,7 @@
             }
             int decided = decideAll();
             recordCost(System.nanoTime() - startedNs, decided);
-            measures.note(nowMs, scheduler.view(), placedOnLiving, waitingTasks > 0, wantedByTeam);
+            measures.note(nowMs, scheduler.view(), placedOnLiving, waitingTasks > 0, wantedByWorkspace);
         }
         return new ReplayResult(counts, measures, audit, decisionUs, List.copyOf(jobs.values()));
     }
@@ -185,8 +185,8 @@
     private void take(TraceLine line) {
         if (line instanceof TraceLine.WorkerLine worker) {
             announce(worker.worker());
-        } else if (line instanceof TraceLine.TeamLine team) {
-            setTeam(team.team());
+        } else if (line instanceof TraceLine.WorkspaceLine workspace) {
+            setWorkspace(workspace.workspace());
         } else if (line instanceof TraceLine.ClassLine workClass) {
             classes.put(workClass.workClass().id(), workClass.workClass());
             scheduler.apply(nowMs, new Event.ClassSet(workClass.workClass()));
@@ -207,7 +207,7 @@
                 failing.remove(fails.worker());
             }
         } else if (line instanceof TraceLine.LimitLine limit) {
-            limit(limit.team(), limit.limits());
+            limit(limit.workspace(), limit.limits());
         }
     }
 
@@ -236,16 +236,16 @@
         scheduler.apply(nowMs, new Event.WorkerSilent(worker));
     }
 
-    private void setTeam(Team team) {
-        teams.put(team.id(), team);
-        audit.limits(team.id(), team.limits());
-        scheduler.apply(nowMs, new Event.TeamSet(team));
+    private void setWorkspace(Workspace workspace) {
+        workspaces.put(workspace.id(), workspace);
+        audit.limits(workspace.id(), workspace.limits());
+        scheduler.apply(nowMs, new Event.WorkspaceSet(workspace));
     }
 
     private void limit(String id, Limits limits) {
-        Team team = teams.get(id);
-        if (team != null) {
-            setTeam(new Team(id, team.share(), limits));
+        Workspace workspace = workspaces.get(id);
+        if (workspace != null) {
+            setWorkspace(new Workspace(id, workspace.share(), limits));
         }
     }
 
@@ -438,6 +438,6 @@
         job.waiting += change;
         waitingTasks += change;
         waitingFinite += job.isFinite() ? change : 0;
-        wantedByTeam.merge(job.line.job().team(), job.perTask().times(change), Resources::plus);
+        wantedByWorkspace.merge(job.line.job().workspace(), job.perTask().times(change), Resources::plus);
     }
 }
--- a/replay/src/main/java/org/lovagegrade/replay/internal/ReplayResult.java
+++ b/replay/src/main/java/org/lovagegrade/replay/internal/ReplayResult.java
@@ -124,23 +124,23 @@
     }
 
     /**
-     * A team's use of the cell over time.
+     * A workspace's use of the cell over time.
      *
-     * @param team the team's id
+     * @param workspace the workspace's id
      * @return one value per sample
      */
-    public List<Double> useOverTime(String team) {
+    public List<Double> useOverTime(String workspace) {
         return measures.samples().stream()
-                .map(sample -> sample.useByTeam().getOrDefault(team, 0.0))
+                .map(sample -> sample.useByWorkspace().getOrDefault(workspace, 0.0))
                 .toList();
     }
 
     /**
-     * The teams of the trace.
+     * The workspaces of the trace.
      *
      * @return their ids
      */
-    public List<String> teams() {
+    public List<String> workspaces() {
         return List.copyOf(measures.shareDistances().keySet());
     }
 
--- a/replay/src/main/java/org/lovagegrade/replay/report/HtmlReport.java
+++ b/replay/src/main/java/org/lovagegrade/replay/report/HtmlReport.java
@@ -167,8 +167,8 @@
             return;
         }
         XYChart chart = chart("Use per team under " + policy, "time (s)", "part of the cell");
-        for (String team : result.teams()) {
-            chart.addSeries(team, result.sampleTimesS(), result.useOverTime(team))
+        for (String workspace : result.workspaces()) {
+            chart.addSeries(workspace, result.sampleTimesS(), result.useOverTime(workspace))
                     .setMarker(SeriesMarkers.NONE);
         }
         image(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG), chart.getTitle());
@@ -181,16 +181,17 @@
                 .title("Distance from share")
                 .yAxisTitle("mean part of the cell missing")
                 .build();
-        TreeSet<String> teams = new TreeSet<>();
-        results.values().forEach(result -> teams.addAll(result.teams()));
-        if (teams.isEmpty()) {
+        TreeSet<String> workspaces = new TreeSet<>();
+        results.values().forEach(result -> workspaces.addAll(result.workspaces()));
+        if (workspaces.isEmpty()) {
             return;
         }
         summaries.forEach((policy, summary) -> chart.addSeries(
                 policy,
-                new ArrayList<>(teams),
-                teams.stream()
-                        .map(team -> summary.path("shareDistance").path(team).asDouble())
+                new ArrayList<>(workspaces),
+                workspaces.stream()
+                        .map(workspace ->
+                                summary.path("shareDistance").path(workspace).asDouble())
                         .toList()));
         image(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG), chart.getTitle());
     }
--- a/replay/src/main/java/org/lovagegrade/replay/trace/TraceLine.java
+++ b/replay/src/main/java/org/lovagegrade/replay/trace/TraceLine.java
@@ -4,9 +4,9 @@
 import org.lovagegrade.core.Job;
 import org.lovagegrade.core.Limits;
 import org.lovagegrade.core.Resources;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.WorkClass;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 
 /** One line of a trace. */
 public sealed interface TraceLine {
@@ -20,8 +20,8 @@
     /** A worker is announced. */
     record WorkerLine(long atMs, Worker worker) implements TraceLine {}
 
-    /** A team is created. */
-    record TeamLine(long atMs, Team team) implements TraceLine {}
+    /** A workspace is created. */
+    record WorkspaceLine(long atMs, Workspace workspace) implements TraceLine {}
 
     /** A class is created. */
     record ClassLine(long atMs, WorkClass workClass) implements TraceLine {}
@@ -48,8 +48,8 @@
     /** A worker begins or ceases to fail every task started there. */
     record WorkerFailsLine(long atMs, String worker, boolean failing) implements TraceLine {}
 
-    /** A team's limits change. */
-    record LimitLine(long atMs, String team, Limits limits) implements TraceLine {}
+    /** A workspace's limits change. */
+    record LimitLine(long atMs, String workspace, Limits limits) implements TraceLine {}
 
     /** A stated outcome, checked at the end. */
     record OutcomeLine(long atMs, String measure, Double atMost, Double atLeast) implements TraceLine {}
--- a/replay/src/main/java/org/lovagegrade/replay/trace/TraceReader.java
+++ b/replay/src/main/java/org/lovagegrade/replay/trace/TraceReader.java
@@ -16,9 +16,9 @@
 import org.lovagegrade.core.Job;
 import org.lovagegrade.core.Limits;
 import org.lovagegrade.core.Resources;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.WorkClass;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 
 /**
  * Reads a trace of JSON lines.
@@ -94,7 +94,7 @@
     private TraceLine line(String event, long atMs, LineFields fields) throws MalformedTraceException {
         return switch (event) {
             case "worker" -> new TraceLine.WorkerLine(atMs, worker(fields));
-            case "team" -> new TraceLine.TeamLine(atMs, team(fields));
+            case "team" -> new TraceLine.WorkspaceLine(atMs, workspace(fields));
             case "class" -> new TraceLine.ClassLine(atMs, workClass(fields));
             case "submit" -> submit(atMs, fields);
             case "cancel" -> new TraceLine.CancelLine(atMs, fields.text("id"));
@@ -116,12 +116,12 @@
         return new Worker(fields.text("id"), fields.text("failureDomain"), fields.text("rack"), resources(fields));
     }
 
-    private static Team team(LineFields fields) throws MalformedTraceException {
+    private static Workspace workspace(LineFields fields) throws MalformedTraceException {
         double share = fields.number("share");
         if (!(share >= 0 && share <= 1)) {
             throw fields.malformed("share", "a number from 0 to 1", null);
         }
-        return new Team(fields.text("id"), share, limits(fields));
+        return new Workspace(fields.text("id"), share, limits(fields));
     }
 
     private static Limits limits(LineFields fields) throws MalformedTraceException {
--- a/state/src/main/java/org/lovagegrade/state/machine/ConfigObject.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/ConfigObject.java
@@ -10,12 +10,12 @@
      * The name by which records and conflicts speak of the object.
      *
      * @param change the change
-     * @return its kind and id, for example {@code team/norte}
+     * @return its kind and id, for example {@code workspace/norte}
      */
     public static String nameOf(ConfigChangeProto change) {
         return switch (change.getChangeCase()) {
-            case SET_TEAM -> "team/" + change.getSetTeam().getId();
-            case REMOVE_TEAM -> "team/" + change.getRemoveTeam();
+            case SET_WORKSPACE -> "team/" + change.getSetWorkspace().getId();
+            case REMOVE_WORKSPACE -> "team/" + change.getRemoveWorkspace();
             case SET_CLASS -> "class/" + change.getSetClass().getId();
             case REMOVE_CLASS -> "class/" + change.getRemoveClass();
             case GIVE_KEY -> "key/" + change.getGiveKey().getId();
--- a/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
@@ -8,10 +8,10 @@
 public enum RefusalReason {
     /** The key is not known or was withdrawn. */
     WRONG_KEY("wrongKey"),
-    /** The key belongs to another team than the work names. */
-    KEY_OF_OTHER_TEAM("keyOfOtherTeam"),
-    /** No such team. */
-    UNKNOWN_TEAM("unknownTeam"),
+    /** The key belongs to another workspace than the work names. */
+    KEY_OF_OTHER_WORKSPACE("keyOfOtherTeam"),
+    /** No such workspace. */
+    UNKNOWN_WORKSPACE("unknownTeam"),
     /** No such class. */
     UNKNOWN_CLASS("unknownClass"),
     /** No such job. */
--- a/state/src/main/java/org/lovagegrade/state/machine/StateMachine.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/StateMachine.java
@@ -30,7 +30,7 @@
 import org.lovagegrade.wire.proto.WorkClassProto;
 
 /**
- * The replicated truth: teams, keys, classes, jobs, attempts and the answers given. The same commands in the same order
+ * The replicated truth: workspaces, keys, classes, jobs, attempts and the answers given. The same commands in the same order
  * give the same state and answers on every replica.
  *
  * <p>Example: {@code Applied applied = machine.apply(command);}
@@ -179,13 +179,13 @@
     }
 
     /**
-     * Finds the team that a key belongs to.
+     * Finds the workspace that a key belongs to.
      *
      * @param digest the SHA-256 of the key's secret, in hexadecimal digits
-     * @return the team's id, or empty
+     * @return the workspace's id, or empty
      */
-    public Optional<String> teamOfKey(String digest) {
-        return config.teamOfKey(digest);
+    public Optional<String> workspaceOfKey(String digest) {
+        return config.workspaceOfKey(digest);
     }
 
     private Applied carryOut(CommandProto command) {
@@ -212,8 +212,8 @@
 
     private OutcomeProto configure(ConfigureProto request) {
         ConfigChangeProto change = request.getChange();
-        boolean isInUse = (change.hasRemoveTeam()
-                        && jobs.hasLiveJob(spec -> spec.getTeam().equals(change.getRemoveTeam())))
+        boolean isInUse = (change.hasRemoveWorkspace()
+                        && jobs.hasLiveJob(spec -> spec.getWorkspace().equals(change.getRemoveWorkspace())))
                 || (change.hasRemoveClass()
                         && jobs.hasLiveJob(spec -> spec.getWorkClass().equals(change.getRemoveClass())));
         return isInUse
@@ -231,8 +231,8 @@
         if (keyRefusal.isPresent()) {
             return keyRefusal.get();
         }
-        if (config.team(spec.getTeam()) == null) {
-            return Outcomes.refused(RefusalReason.UNKNOWN_TEAM, spec.getTeam());
+        if (config.workspace(spec.getWorkspace()) == null) {
+            return Outcomes.refused(RefusalReason.UNKNOWN_WORKSPACE, spec.getWorkspace());
         }
         ResourcesProto size = spec.getPerTask();
         boolean isNegative = size.getMilliCores() < 0 || size.getMemoryMb() < 0 || size.getAccelerators() < 0;
@@ -251,20 +251,21 @@
     }
 
     private Optional<OutcomeProto> keyRefusal(SubmitProto submit, WorkClassProto workClass) {
-        String team = submit.getSpec().getTeam();
-        if (submit.getKeySha256().isEmpty() && !workClass.getOpenTeam().isEmpty()) {
-            return workClass.getOpenTeam().equals(team)
+        String workspace = submit.getSpec().getWorkspace();
+        if (submit.getKeySha256().isEmpty() && !workClass.getOpenWorkspace().isEmpty()) {
+            return workClass.getOpenWorkspace().equals(workspace)
                     ? Optional.empty()
-                    : Optional.of(Outcomes.refused(RefusalReason.KEY_OF_OTHER_TEAM, team));
+                    : Optional.of(Outcomes.refused(RefusalReason.KEY_OF_OTHER_WORKSPACE, workspace));
         }
-        Optional<String> owner = config.teamOfKey(submit.getKeySha256());
+        Optional<String> owner = config.workspaceOfKey(submit.getKeySha256());
         if (owner.isEmpty()) {
             return Optional.of(Outcomes.refused(RefusalReason.WRONG_KEY, "expected: a key in force"));
         }
-        return owner.get().equals(team)
+        return owner.get().equals(workspace)
                 ? Optional.empty()
                 : Optional.of(Outcomes.refused(
-                        RefusalReason.KEY_OF_OTHER_TEAM, "expected: team " + owner.get() + "; actual: " + team));
+                        RefusalReason.KEY_OF_OTHER_WORKSPACE,
+                        "expected: team " + owner.get() + "; actual: " + workspace));
     }
 
     private OutcomeProto cancel(CancelProto cancel) {
@@ -272,12 +273,12 @@
         if (job.isEmpty()) {
             return Outcomes.refused(RefusalReason.UNKNOWN_JOB, cancel.getJob());
         }
-        Optional<String> owner = config.teamOfKey(cancel.getKeySha256());
+        Optional<String> owner = config.workspaceOfKey(cancel.getKeySha256());
         boolean mayCancel = !cancel.getOperator().isEmpty()
-                || owner.equals(Optional.of(job.get().getSpec().getTeam()));
+                || owner.equals(Optional.of(job.get().getSpec().getWorkspace()));
         if (!mayCancel) {
             return Outcomes.refused(
-                    owner.isEmpty() ? RefusalReason.WRONG_KEY : RefusalReason.KEY_OF_OTHER_TEAM,
+                    owner.isEmpty() ? RefusalReason.WRONG_KEY : RefusalReason.KEY_OF_OTHER_WORKSPACE,
                     "expected: a key of the job's team");
         }
         return jobs.cancel(cancel.getJob())
--- a/state/src/main/java/org/lovagegrade/state/machine/internal/ConfigStore.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/internal/ConfigStore.java
@@ -12,18 +12,18 @@
 import org.lovagegrade.wire.proto.ConfigViewProto;
 import org.lovagegrade.wire.proto.ConfigureProto;
 import org.lovagegrade.wire.proto.OutcomeProto;
-import org.lovagegrade.wire.proto.TeamKeyProto;
-import org.lovagegrade.wire.proto.TeamProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
+import org.lovagegrade.wire.proto.WorkspaceKeyProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
-/** Teams, classes and keys with their revisions; of two changes based on the same revision one wins. */
+/** Workspaces, classes and keys with their revisions; of two changes based on the same revision one wins. */
 public final class ConfigStore {
     private static final double MAX_SHARE = 1.0;
 
-    private final TreeMap<String, TeamProto> teams = new TreeMap<>();
+    private final TreeMap<String, WorkspaceProto> workspaces = new TreeMap<>();
     private final TreeMap<String, WorkClassProto> classes = new TreeMap<>();
-    private final TreeMap<String, TeamKeyProto> keys = new TreeMap<>();
-    private final Map<String, TeamKeyProto> keysByDigest = new HashMap<>();
+    private final TreeMap<String, WorkspaceKeyProto> keys = new TreeMap<>();
+    private final Map<String, WorkspaceKeyProto> keysByDigest = new HashMap<>();
     private final TreeMap<String, ChangeAuthorProto> authors = new TreeMap<>();
     private long revision;
 
@@ -37,13 +37,13 @@
     }
 
     /**
-     * Finds a team.
+     * Finds a workspace.
      *
      * @param id its id
-     * @return the team, or null
+     * @return the workspace, or null
      */
-    public TeamProto team(String id) {
-        return teams.get(id);
+    public WorkspaceProto workspace(String id) {
+        return workspaces.get(id);
     }
 
     /**
@@ -57,13 +57,13 @@
     }
 
     /**
-     * Finds the team that a key belongs to.
+     * Finds the workspace that a key belongs to.
      *
      * @param digest the SHA-256 of the key's secret, in hexadecimal digits
-     * @return the team's id, or empty if the key is not known or was withdrawn
+     * @return the workspace's id, or empty if the key is not known or was withdrawn
      */
-    public Optional<String> teamOfKey(String digest) {
-        return Optional.ofNullable(keysByDigest.get(digest)).map(TeamKeyProto::getTeam);
+    public Optional<String> workspaceOfKey(String digest) {
+        return Optional.ofNullable(keysByDigest.get(digest)).map(WorkspaceKeyProto::getWorkspace);
     }
 
     /**
@@ -74,7 +74,7 @@
     public ConfigViewProto view() {
         return ConfigViewProto.newBuilder()
                 .setRevision(revision)
-                .addAllTeams(teams.values())
+                .addAllWorkspaces(workspaces.values())
                 .addAllClasses(classes.values())
                 .addAllKeys(keys.values())
                 .build();
@@ -96,7 +96,7 @@
      * @param changedBy who changed what last
      */
     public void restore(ConfigViewProto view, Iterable<ChangeAuthorProto> changedBy) {
-        view.getTeamsList().forEach(team -> teams.put(team.getId(), team));
+        view.getWorkspacesList().forEach(workspace -> workspaces.put(workspace.getId(), workspace));
         view.getClassesList().forEach(workClass -> classes.put(workClass.getId(), workClass));
         view.getKeysList().forEach(this::putKey);
         changedBy.forEach(author -> authors.put(author.getObject(), author));
@@ -142,9 +142,9 @@
         int separator = object.indexOf('/');
         String id = object.substring(separator + 1);
         Object value = switch (object.substring(0, separator)) {
-            case "team" -> teams.get(id);
+            case "team" -> workspaces.get(id);
             case "class" -> classes.get(id);
-            default -> keys.containsKey(id) ? "a key of team " + keys.get(id).getTeam() : null;
+            default -> keys.containsKey(id) ? "a key of team " + keys.get(id).getWorkspace() : null;
         };
         return value == null
                 ? "nothing (removed)"
@@ -153,8 +153,9 @@
 
     private long presentRevision(ConfigChangeProto change) {
         return switch (change.getChangeCase()) {
-            case SET_TEAM -> revisionOf(teams.get(change.getSetTeam().getId()));
-            case REMOVE_TEAM -> revisionOf(teams.get(change.getRemoveTeam()));
+            case SET_WORKSPACE ->
+                revisionOf(workspaces.get(change.getSetWorkspace().getId()));
+            case REMOVE_WORKSPACE -> revisionOf(workspaces.get(change.getRemoveWorkspace()));
             case SET_CLASS -> revisionOf(classes.get(change.getSetClass().getId()));
             case REMOVE_CLASS -> revisionOf(classes.get(change.getRemoveClass()));
             case GIVE_KEY -> revisionOf(keys.get(change.getGiveKey().getId()));
@@ -163,22 +164,22 @@
         };
     }
 
-    private static long revisionOf(TeamProto team) {
-        return team == null ? 0 : team.getRevision();
+    private static long revisionOf(WorkspaceProto workspace) {
+        return workspace == null ? 0 : workspace.getRevision();
     }
 
     private static long revisionOf(WorkClassProto workClass) {
         return workClass == null ? 0 : workClass.getRevision();
     }
 
-    private static long revisionOf(TeamKeyProto key) {
+    private static long revisionOf(WorkspaceKeyProto key) {
         return key == null ? 0 : key.getRevision();
     }
 
     private Optional<OutcomeProto> refusal(ConfigChangeProto change) {
         return switch (change.getChangeCase()) {
-            case SET_TEAM -> teamRefusal(change.getSetTeam());
-            case REMOVE_TEAM -> removalRefusal(change.getRemoveTeam());
+            case SET_WORKSPACE -> workspaceRefusal(change.getSetWorkspace());
+            case REMOVE_WORKSPACE -> removalRefusal(change.getRemoveWorkspace());
             case SET_CLASS -> classRefusal(change.getSetClass());
             case REMOVE_CLASS ->
                 classes.containsKey(change.getRemoveClass())
@@ -193,27 +194,29 @@
         };
     }
 
-    private static Optional<OutcomeProto> teamRefusal(TeamProto team) {
-        boolean hasBadShare = !(team.getShare() >= 0 && team.getShare() <= MAX_SHARE);
-        boolean hasBadLimit = team.getLimitMilliCores() < 0
-                || team.getLimitMemoryMb() < 0
-                || team.getLimitAccelerators() < 0
-                || team.getLimitCalls() < 0;
-        if (team.getId().isEmpty() || hasBadShare || hasBadLimit) {
+    private static Optional<OutcomeProto> workspaceRefusal(WorkspaceProto workspace) {
+        boolean hasBadShare = !(workspace.getShare() >= 0 && workspace.getShare() <= MAX_SHARE);
+        boolean hasBadLimit = workspace.getLimitMilliCores() < 0
+                || workspace.getLimitMemoryMb() < 0
+                || workspace.getLimitAccelerators() < 0
+                || workspace.getLimitCalls() < 0;
+        if (workspace.getId().isEmpty() || hasBadShare || hasBadLimit) {
             return refuse(
                     RefusalReason.BAD_VALUE,
-                    "expected: an id, a share from 0 to 1, limits not below 0; actual: " + team);
+                    "expected: an id, a share from 0 to 1, limits not below 0; actual: " + workspace);
         }
         return Optional.empty();
     }
 
-    private Optional<OutcomeProto> removalRefusal(String team) {
-        if (!teams.containsKey(team)) {
-            return refuse(RefusalReason.UNKNOWN_TEAM, team);
+    private Optional<OutcomeProto> removalRefusal(String workspace) {
+        if (!workspaces.containsKey(workspace)) {
+            return refuse(RefusalReason.UNKNOWN_WORKSPACE, workspace);
         }
-        boolean hasKeys = keys.values().stream().anyMatch(key -> key.getTeam().equals(team));
+        boolean hasKeys =
+                keys.values().stream().anyMatch(key -> key.getWorkspace().equals(workspace));
         return hasKeys
-                ? refuse(RefusalReason.STILL_IN_USE, "expected: a team without keys; actual: " + team + " has keys")
+                ? refuse(
+                        RefusalReason.STILL_IN_USE, "expected: a team without keys; actual: " + workspace + " has keys")
                 : Optional.empty();
     }
 
@@ -224,13 +227,16 @@
         if (workClass.getId().isEmpty() || hasBadTarget) {
             return refuse(RefusalReason.BAD_VALUE, "expected: an id and targets above 0 ms; actual: " + workClass);
         }
-        boolean hasUnknownTeam = !workClass.getOpenTeam().isEmpty() && !teams.containsKey(workClass.getOpenTeam());
-        return hasUnknownTeam ? refuse(RefusalReason.UNKNOWN_TEAM, workClass.getOpenTeam()) : Optional.empty();
+        boolean hasUnknownWorkspace =
+                !workClass.getOpenWorkspace().isEmpty() && !workspaces.containsKey(workClass.getOpenWorkspace());
+        return hasUnknownWorkspace
+                ? refuse(RefusalReason.UNKNOWN_WORKSPACE, workClass.getOpenWorkspace())
+                : Optional.empty();
     }
 
-    private Optional<OutcomeProto> keyRefusal(TeamKeyProto key) {
-        if (!teams.containsKey(key.getTeam())) {
-            return refuse(RefusalReason.UNKNOWN_TEAM, key.getTeam());
+    private Optional<OutcomeProto> keyRefusal(WorkspaceKeyProto key) {
+        if (!workspaces.containsKey(key.getWorkspace())) {
+            return refuse(RefusalReason.UNKNOWN_WORKSPACE, key.getWorkspace());
         }
         if (key.getId().isEmpty() || key.getSecretSha256().isEmpty()) {
             return refuse(
@@ -245,11 +251,13 @@
 
     private void carryOut(ConfigChangeProto change) {
         switch (change.getChangeCase()) {
-            case SET_TEAM ->
-                teams.put(
-                        change.getSetTeam().getId(),
-                        change.getSetTeam().toBuilder().setRevision(revision).build());
-            case REMOVE_TEAM -> teams.remove(change.getRemoveTeam());
+            case SET_WORKSPACE ->
+                workspaces.put(
+                        change.getSetWorkspace().getId(),
+                        change.getSetWorkspace().toBuilder()
+                                .setRevision(revision)
+                                .build());
+            case REMOVE_WORKSPACE -> workspaces.remove(change.getRemoveWorkspace());
             case SET_CLASS ->
                 classes.put(
                         change.getSetClass().getId(),
@@ -262,14 +270,14 @@
         }
     }
 
-    private void putKey(TeamKeyProto key) {
+    private void putKey(WorkspaceKeyProto key) {
         dropKey(key.getId());
         keys.put(key.getId(), key);
         keysByDigest.put(key.getSecretSha256(), key);
     }
 
     private void dropKey(String id) {
-        TeamKeyProto former = keys.remove(id);
+        WorkspaceKeyProto former = keys.remove(id);
         if (former != null) {
             keysByDigest.remove(former.getSecretSha256(), former);
         }
--- a/state/src/main/java/org/lovagegrade/state/replica/FleetApplication.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/FleetApplication.java
@@ -19,7 +19,7 @@
 import org.lovagegrade.wire.proto.OutcomeProto;
 import org.lovagegrade.wire.proto.OutcomeStatusProto;
 
-/** The fleet's state with teams, classes and jobs of one step, and the scheduler that its leader runs. */
+/** The fleet's state with workspaces, classes and jobs of one step, and the scheduler that its leader runs. */
 public final class FleetApplication implements ReplicatedApplication {
     private static final String COMMAND_REFUSALS = "lovagegrade_command_refusals";
 
--- a/state/src/main/java/org/lovagegrade/state/scheduling/CallGrants.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/CallGrants.java
@@ -8,10 +8,10 @@
 import java.util.Set;
 import org.lovagegrade.wire.proto.CallGrantProto;
 import org.lovagegrade.wire.proto.CallUseProto;
-import org.lovagegrade.wire.proto.TeamProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /**
- * Splits each team's limit on calls into grants to entries, so that the sum of what may run never passes the limit.
+ * Splits each workspace's limit on calls into grants to entries, so that the sum of what may run never passes the limit.
  *
  * <p>What an entry may be running counts until it has said otherwise, or until it has been silent for so long that its
  * grants have lapsed and the calls under them have passed their deadlines.
@@ -23,8 +23,8 @@
 
     /** What one entry may be running. */
     private static final class Holding {
-        private final Map<String, Long> heldByTeam = new HashMap<>();
-        private final Map<String, Long> wantedByTeam = new HashMap<>();
+        private final Map<String, Long> heldByWorkspace = new HashMap<>();
+        private final Map<String, Long> wantedByWorkspace = new HashMap<>();
         private long heardMs;
     }
 
@@ -44,13 +44,13 @@
      *
      * @param entry the entry's id
      * @param uses what it runs, wants and was granted
-     * @param teams the teams as configured
+     * @param workspaces the workspaces as configured
      * @param members all entries that may hold grants of former leaders
      * @param nowMs the present time in milliseconds
-     * @return a grant for each team that has a limit
+     * @return a grant for each workspace that has a limit
      */
     public List<CallGrantProto> grant(
-            String entry, List<CallUseProto> uses, List<TeamProto> teams, Set<String> members, long nowMs) {
+            String entry, List<CallUseProto> uses, List<WorkspaceProto> workspaces, Set<String> members, long nowMs) {
         holdings.values().removeIf(holding -> nowMs - holding.heardMs > lapseMs);
         if (!members.contains(entry)) {
             return List.of();
@@ -58,9 +58,9 @@
         note(entry, uses, nowMs);
         boolean knowsAll = nowMs - ledSinceMs > lapseMs || holdings.keySet().containsAll(members);
         List<CallGrantProto> grants = new ArrayList<>();
-        for (TeamProto team : teams) {
-            if (team.hasLimitCalls()) {
-                grants.add(grantFor(entry, team, knowsAll));
+        for (WorkspaceProto workspace : workspaces) {
+            if (workspace.hasLimitCalls()) {
+                grants.add(grantFor(entry, workspace, knowsAll));
             }
         }
         return grants;
@@ -71,33 +71,33 @@
         holding.heardMs = nowMs;
         Set<String> reported = new HashSet<>();
         for (CallUseProto use : uses) {
-            reported.add(use.getTeam());
-            holding.heldByTeam.put(use.getTeam(), Math.max(use.getGranted(), use.getInFlight()));
-            holding.wantedByTeam.put(use.getTeam(), use.getInFlight() + use.getWaiting());
+            reported.add(use.getWorkspace());
+            holding.heldByWorkspace.put(use.getWorkspace(), Math.max(use.getGranted(), use.getInFlight()));
+            holding.wantedByWorkspace.put(use.getWorkspace(), use.getInFlight() + use.getWaiting());
         }
-        holding.heldByTeam.keySet().retainAll(reported);
-        holding.wantedByTeam.keySet().retainAll(reported);
+        holding.heldByWorkspace.keySet().retainAll(reported);
+        holding.wantedByWorkspace.keySet().retainAll(reported);
     }
 
-    private CallGrantProto grantFor(String entry, TeamProto team, boolean knowsAll) {
+    private CallGrantProto grantFor(String entry, WorkspaceProto workspace, boolean knowsAll) {
         Holding own = holdings.get(entry);
-        long limit = team.getLimitCalls();
+        long limit = workspace.getLimitCalls();
         long heldByOthers = 0;
         long wantedByAll = 0;
         for (Holding holding : holdings.values()) {
             if (holding != own) {
-                heldByOthers += holding.heldByTeam.getOrDefault(team.getId(), 0L);
+                heldByOthers += holding.heldByWorkspace.getOrDefault(workspace.getId(), 0L);
             }
-            wantedByAll += holding.wantedByTeam.getOrDefault(team.getId(), 0L);
+            wantedByAll += holding.wantedByWorkspace.getOrDefault(workspace.getId(), 0L);
         }
-        long held = own.heldByTeam.getOrDefault(team.getId(), 0L);
-        long wanted = own.wantedByTeam.getOrDefault(team.getId(), 0L);
+        long held = own.heldByWorkspace.getOrDefault(workspace.getId(), 0L);
+        long wanted = own.wantedByWorkspace.getOrDefault(workspace.getId(), 0L);
         long free = Math.max(0, limit - heldByOthers);
         long most = knowsAll ? free : Math.min(free, held);
         long granted = Math.min(fairPart(limit, wanted, wantedByAll), most);
-        own.heldByTeam.put(team.getId(), Math.max(held, granted));
+        own.heldByWorkspace.put(workspace.getId(), Math.max(held, granted));
         return CallGrantProto.newBuilder()
-                .setTeam(team.getId())
+                .setWorkspace(workspace.getId())
                 .setCalls(granted)
                 .build();
     }
--- a/state/src/main/java/org/lovagegrade/state/scheduling/EntryViews.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/EntryViews.java
@@ -70,7 +70,7 @@
         reply.addAllGrants(grants.grant(
                 entry.getId(),
                 request.getUsesList(),
-                machine.configView().getTeamsList(),
+                machine.configView().getWorkspacesList(),
                 machine.entries().keySet(),
                 nowMs));
         return reply.build();
--- a/state/src/main/java/org/lovagegrade/state/scheduling/LeaderDuties.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/LeaderDuties.java
@@ -62,8 +62,9 @@
         this.answers = new WorkerAnswers(machine, leases);
         this.wallOffsetMs = wallMs - nowMs;
         machine.configView()
-                .getTeamsList()
-                .forEach(team -> scheduler.apply(nowMs, new Event.TeamSet(ProtoMapping.team(team))));
+                .getWorkspacesList()
+                .forEach(
+                        workspace -> scheduler.apply(nowMs, new Event.WorkspaceSet(ProtoMapping.workspace(workspace))));
         machine.configView()
                 .getClassesList()
                 .forEach(workClass -> scheduler.apply(nowMs, new Event.ClassSet(ProtoMapping.workClass(workClass))));
@@ -150,8 +151,8 @@
     }
 
     private void configured(ConfigChangeProto change, long nowMs) {
-        if (change.hasSetTeam()) {
-            scheduler.apply(nowMs, new Event.TeamSet(ProtoMapping.team(change.getSetTeam())));
+        if (change.hasSetWorkspace()) {
+            scheduler.apply(nowMs, new Event.WorkspaceSet(ProtoMapping.workspace(change.getSetWorkspace())));
         } else if (change.hasSetClass()) {
             scheduler.apply(nowMs, new Event.ClassSet(ProtoMapping.workClass(change.getSetClass())));
         }
--- a/state/src/main/java/org/lovagegrade/state/scheduling/ProtoMapping.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/ProtoMapping.java
@@ -8,17 +8,17 @@
 import org.lovagegrade.core.Job;
 import org.lovagegrade.core.Limits;
 import org.lovagegrade.core.Resources;
-import org.lovagegrade.core.Team;
 import org.lovagegrade.core.WorkClass;
 import org.lovagegrade.core.Worker;
+import org.lovagegrade.core.Workspace;
 import org.lovagegrade.wire.proto.AttemptProto;
 import org.lovagegrade.wire.proto.DecisionActionProto;
 import org.lovagegrade.wire.proto.DecisionProto;
 import org.lovagegrade.wire.proto.HeartbeatProto;
 import org.lovagegrade.wire.proto.JobSpecProto;
 import org.lovagegrade.wire.proto.ResourcesProto;
-import org.lovagegrade.wire.proto.TeamProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /** Converts between messages and the types of the decision core. */
 final class ProtoMapping {
@@ -36,12 +36,12 @@
                 .build();
     }
 
-    static Team team(TeamProto proto) {
+    static Workspace workspace(WorkspaceProto proto) {
         Limits limits = Limits.of(
                 optional(proto.hasLimitMilliCores(), proto.getLimitMilliCores()),
                 optional(proto.hasLimitMemoryMb(), proto.getLimitMemoryMb()),
                 optional(proto.hasLimitAccelerators(), proto.getLimitAccelerators()));
-        return new Team(proto.getId(), proto.getShare(), limits);
+        return new Workspace(proto.getId(), proto.getShare(), limits);
     }
 
     static WorkClass workClass(WorkClassProto proto) {
@@ -69,7 +69,7 @@
     static Job job(JobSpecProto spec, long submittedAtMs) {
         return new Job(
                 spec.getId(),
-                spec.getTeam(),
+                spec.getWorkspace(),
                 spec.getWorkClass(),
                 spec.getTasks(),
                 resources(spec.getPerTask()),
--- a/state/src/main/java/org/lovagegrade/state/scheduling/StatusQueries.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/StatusQueries.java
@@ -37,21 +37,21 @@
     }
 
     /**
-     * Answers a question; a team sees only its own jobs.
+     * Answers a question; a workspace sees only its own jobs.
      *
      * @param query the question
      * @param nowMs the present time in milliseconds
      * @return the answer
      */
     public QueryReplyProto answer(QueryRequestProto query, long nowMs) {
-        Optional<String> team = machine.teamOfKey(query.getKeySha256());
-        if (!query.getOperator() && team.isEmpty()) {
+        Optional<String> workspace = machine.workspaceOfKey(query.getKeySha256());
+        if (!query.getOperator() && workspace.isEmpty()) {
             return refused(RefusalReason.WRONG_KEY);
         }
         return switch (query.getKind()) {
-            case QUERY_JOB -> job(query, team);
-            case QUERY_JOBS -> jobs(query, team);
-            case QUERY_EXPLAIN -> explain(query, team, nowMs);
+            case QUERY_JOB -> job(query, workspace);
+            case QUERY_JOBS -> jobs(query, workspace);
+            case QUERY_EXPLAIN -> explain(query, workspace, nowMs);
             case QUERY_STATUS -> status(nowMs);
             default -> refused(RefusalReason.BAD_VALUE);
         };
@@ -64,23 +64,24 @@
                 .build();
     }
 
-    private QueryReplyProto job(QueryRequestProto query, Optional<String> team) {
-        return visibleJob(query, team)
+    private QueryReplyProto job(QueryRequestProto query, Optional<String> workspace) {
+        return visibleJob(query, workspace)
                 .map(job -> QueryReplyProto.newBuilder().addJobs(job).build())
                 .orElseGet(() -> refused(RefusalReason.UNKNOWN_JOB));
     }
 
-    private Optional<JobProto> visibleJob(QueryRequestProto query, Optional<String> team) {
+    private Optional<JobProto> visibleJob(QueryRequestProto query, Optional<String> workspace) {
         return machine.job(query.getJob())
                 .filter(job -> query.getOperator()
-                        || team.equals(Optional.of(job.getSpec().getTeam())));
+                        || workspace.equals(Optional.of(job.getSpec().getWorkspace())));
     }
 
     /** The newest jobs only, so that the answer fits a message whatever the fleet runs. */
-    private QueryReplyProto jobs(QueryRequestProto query, Optional<String> team) {
+    private QueryReplyProto jobs(QueryRequestProto query, Optional<String> workspace) {
         Deque<JobProto> newest = new ArrayDeque<>();
         for (JobProto.Builder job : machine.jobs()) {
-            if (query.getOperator() || team.equals(Optional.of(job.getSpec().getTeam()))) {
+            if (query.getOperator()
+                    || workspace.equals(Optional.of(job.getSpec().getWorkspace()))) {
                 newest.add(job.build());
             }
             if (newest.size() > MOST_JOBS_LISTED) {
@@ -90,8 +91,8 @@
         return QueryReplyProto.newBuilder().addAllJobs(newest).build();
     }
 
-    private QueryReplyProto explain(QueryRequestProto query, Optional<String> team, long nowMs) {
-        Optional<JobProto> job = visibleJob(query, team);
+    private QueryReplyProto explain(QueryRequestProto query, Optional<String> workspace, long nowMs) {
+        Optional<JobProto> job = visibleJob(query, workspace);
         if (job.isEmpty()) {
             return refused(RefusalReason.UNKNOWN_JOB);
         }
@@ -106,8 +107,8 @@
                     .setText(inWords(found, job.get()))
                     .setWaitedMs(found.waitedMs())
                     .setWaitTargetMs(found.waitTargetMs())
-                    .setTeamShare(found.teamShare())
-                    .setTeamUse(found.teamUse());
+                    .setWorkspaceShare(found.workspaceShare())
+                    .setWorkspaceUse(found.workspaceUse());
         }
         return QueryReplyProto.newBuilder()
                 .addJobs(job.get())
@@ -124,19 +125,19 @@
                 job.getSpec().getPerTask().getMilliCores() / 1_000.0,
                 job.getSpec().getPerTask().getMemoryMb(),
                 job.getSpec().getPerTask().getAccelerators());
-        String team = String.format(
+        String workspace = String.format(
                 Locale.ROOT,
                 "; its team uses %.1f%% of the cell, its share is %.1f%%",
-                explanation.teamUse() * PERCENT,
-                explanation.teamShare() * PERCENT);
+                explanation.workspaceUse() * PERCENT,
+                explanation.workspaceShare() * PERCENT);
         return switch (explanation.reason()) {
             case NOT_WAITING -> "nothing waits: all tasks are placed or have ended";
-            case NO_ROOM -> "no worker has room: " + missing + team;
-            case TEAM_AT_LIMIT -> "the team is at its limit: " + missing + team;
+            case NO_ROOM -> "no worker has room: " + missing + workspace;
+            case WORKSPACE_AT_LIMIT -> "the team is at its limit: " + missing + workspace;
             case BACKING_OFF -> "its tasks failed and are tried again after a pause";
             case LARGER_THAN_ANY_WORKER -> "set aside until a large enough worker is announced: " + missing;
             case LARGER_THAN_CELL -> "set aside until there are enough workers to run all tasks at once: " + missing;
-            case LARGER_THAN_TEAM_LIMIT -> "set aside until its team's limit is raised: " + missing;
+            case LARGER_THAN_WORKSPACE_LIMIT -> "set aside until its team's limit is raised: " + missing;
             case CANCELLED -> "it was cancelled; what runs is being stopped";
             case FAILED_TOO_OFTEN -> "its tasks failed too often on workers that run others well";
             default -> explanation.reason().text();
--- a/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
+++ b/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
@@ -18,17 +18,17 @@
 import org.lovagegrade.wire.proto.OutcomeStatusProto;
 import org.lovagegrade.wire.proto.ResourcesProto;
 import org.lovagegrade.wire.proto.SubmitProto;
-import org.lovagegrade.wire.proto.TeamKeyProto;
-import org.lovagegrade.wire.proto.TeamProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
+import org.lovagegrade.wire.proto.WorkspaceKeyProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
 final class StateMachineTest {
     private StateMachine machine = StateMachine.empty();
     private int nextRequest;
 
     @BeforeEach
-    void createTeamClassAndKey() {
-        configure("maria", 0, setTeam(0.5));
+    void createWorkspaceClassAndKey() {
+        configure("maria", 0, setWorkspace(0.5));
         configure(
                 "maria",
                 0,
@@ -38,15 +38,15 @@
                 "maria",
                 0,
                 ConfigChangeProto.newBuilder()
-                        .setGiveKey(TeamKeyProto.newBuilder()
+                        .setGiveKey(WorkspaceKeyProto.newBuilder()
                                 .setId("key-1")
-                                .setTeam("norte")
+                                .setWorkspace("norte")
                                 .setSecretSha256("digest-1")));
     }
 
-    private static ConfigChangeProto.Builder setTeam(double share) {
+    private static ConfigChangeProto.Builder setWorkspace(double share) {
         return ConfigChangeProto.newBuilder()
-                .setSetTeam(TeamProto.newBuilder().setId("norte").setShare(share));
+                .setSetWorkspace(WorkspaceProto.newBuilder().setId("norte").setShare(share));
     }
 
     private OutcomeProto configure(String operator, long base, ConfigChangeProto.Builder change) {
@@ -69,7 +69,7 @@
     private static CommandProto.Builder submit(String job, String digest) {
         JobSpecProto spec = JobSpecProto.newBuilder()
                 .setId(job)
-                .setTeam("norte")
+                .setWorkspace("norte")
                 .setWorkClass("batch")
                 .setTasks(2)
                 .setPerTask(ResourcesProto.newBuilder().setMilliCores(1_000))
@@ -97,30 +97,31 @@
         @Test
         void shouldLetOneWinAndTellTheOtherByWhomAndWithWhat() {
             // given
-            OutcomeProto first = configure("maria", 1, setTeam(0.7));
+            OutcomeProto first = configure("maria", 1, setWorkspace(0.7));
 
             // when
-            OutcomeProto second = configure("jose", 1, setTeam(0.2));
+            OutcomeProto second = configure("jose", 1, setWorkspace(0.2));
 
             // then
             assertThat(first.getStatus()).isEqualTo(OutcomeStatusProto.OK);
             assertThat(second.getStatus()).isEqualTo(OutcomeStatusProto.CONFLICT);
             assertThat(second.getDetail()).contains("maria");
             assertThat(second.getDetail()).contains("0.7");
-            assertThat(machine.configView().getTeams(0).getShare()).isEqualTo(0.7);
+            assertThat(machine.configView().getWorkspaces(0).getShare()).isEqualTo(0.7);
         }
 
         @Test
         void shouldNotDisturbChangesOfOtherObjects() {
             // given
-            configure("maria", 1, setTeam(0.7));
+            configure("maria", 1, setWorkspace(0.7));
 
             // when
             OutcomeProto other = configure(
                     "jose",
                     0,
                     ConfigChangeProto.newBuilder()
-                            .setSetTeam(TeamProto.newBuilder().setId("sur").setShare(0.1)));
+                            .setSetWorkspace(
+                                    WorkspaceProto.newBuilder().setId("sur").setShare(0.1)));
 
             // then
             assertThat(other.getStatus()).isEqualTo(OutcomeStatusProto.OK);
@@ -132,16 +133,16 @@
         @Test
         void shouldGetTheFirstAnswerAlsoAfterASnapshot() {
             // given
-            OutcomeProto first = apply("same", configureCommand("maria", 1, setTeam(0.7)));
-            configure("jose", first.getRevision(), setTeam(0.2));
+            OutcomeProto first = apply("same", configureCommand("maria", 1, setWorkspace(0.7)));
+            configure("jose", first.getRevision(), setWorkspace(0.2));
 
             // when
             machine = StateMachine.fromSnapshot(machine.snapshot());
-            OutcomeProto again = apply("same", configureCommand("maria", 1, setTeam(0.7)));
+            OutcomeProto again = apply("same", configureCommand("maria", 1, setWorkspace(0.7)));
 
             // then
             assertThat(again).isEqualTo(first);
-            assertThat(machine.configView().getTeams(0).getShare()).isEqualTo(0.2);
+            assertThat(machine.configView().getWorkspaces(0).getShare()).isEqualTo(0.2);
         }
 
         @Test
@@ -161,7 +162,7 @@
     @Nested
     final class Keys {
         @Test
-        void shouldBeNeededAndOfTheRightTeam() {
+        void shouldBeNeededAndOfTheRightWorkspace() {
             assertThat(apply("a", submit("a", "unknown")).getReason()).isEqualTo("wrongKey");
             assertThat(apply("b", submit("b", "")).getReason()).isEqualTo("wrongKey");
             assertThat(machine.jobs()).isEmpty();
@@ -229,7 +230,7 @@
         }
 
         @Test
-        void shouldKeepTheirTeamAndClassWhileACancelledJobStillHoldsAWorker() {
+        void shouldKeepTheirWorkspaceAndClassWhileACancelledJobStillHoldsAWorker() {
             // given
             CancelProto cancel = CancelProto.newBuilder()
                     .setJob("job")
@@ -283,21 +284,22 @@
             long revision = machine.revision();
 
             // when, then
-            assertThat(configure("maria", 1, setTeam(1.5)).getReason()).isEqualTo("badValue");
-            assertThat(configure("maria", 1, setTeam(Double.NaN)).getReason()).isEqualTo("badValue");
+            assertThat(configure("maria", 1, setWorkspace(1.5)).getReason()).isEqualTo("badValue");
+            assertThat(configure("maria", 1, setWorkspace(Double.NaN)).getReason())
+                    .isEqualTo("badValue");
             assertThat(configure("maria", 1, ConfigChangeProto.newBuilder()).getReason())
                     .isEqualTo("revisionConflict");
             assertThat(machine.revision()).isEqualTo(revision);
         }
 
         @Test
-        void shouldNotRemoveATeamThatIsStillInUse() {
+        void shouldNotRemoveAWorkspaceThatIsStillInUse() {
             // given
             apply("submit", submit("job", "digest-1"));
 
             // when
             OutcomeProto removed =
-                    configure("maria", 1, ConfigChangeProto.newBuilder().setRemoveTeam("norte"));
+                    configure("maria", 1, ConfigChangeProto.newBuilder().setRemoveWorkspace("norte"));
 
             // then
             assertThat(removed.getReason()).isEqualTo("stillInUse");
--- a/state/src/test/java/org/lovagegrade/state/scheduling/CallGrantsTest.java
+++ b/state/src/test/java/org/lovagegrade/state/scheduling/CallGrantsTest.java
@@ -13,19 +13,19 @@
 import org.junit.jupiter.api.Test;
 import org.lovagegrade.wire.proto.CallGrantProto;
 import org.lovagegrade.wire.proto.CallUseProto;
-import org.lovagegrade.wire.proto.TeamProto;
+import org.lovagegrade.wire.proto.WorkspaceProto;
 
 final class CallGrantsTest {
     private static final long LAPSE_MS = 34_000;
     private static final long VIEW_LEASE_MS = 3_000;
     private static final long CALL_MS = 2_000;
     private static final int LIMIT = 20;
-    private static final TeamProto TEAM =
-            TeamProto.newBuilder().setId("norte").setLimitCalls(LIMIT).build();
+    private static final WorkspaceProto WORKSPACE =
+            WorkspaceProto.newBuilder().setId("norte").setLimitCalls(LIMIT).build();
 
     private static CallUseProto use(long inFlight, long waiting, long granted) {
         return CallUseProto.newBuilder()
-                .setTeam("norte")
+                .setWorkspace("norte")
                 .setInFlight(inFlight)
                 .setWaiting(waiting)
                 .setGranted(granted)
@@ -33,7 +33,7 @@
     }
 
     private static long grant(CallGrants grants, String entry, Set<String> members, CallUseProto use, long nowMs) {
-        List<CallGrantProto> given = grants.grant(entry, List.of(use), List.of(TEAM), members, nowMs);
+        List<CallGrantProto> given = grants.grant(entry, List.of(use), List.of(WORKSPACE), members, nowMs);
         return given.isEmpty() ? 0 : given.get(0).getCalls();
     }
 
--- a/testing/src/main/java/org/lovagegrade/testing/endpoint/FakeEndpoint.java
+++ b/testing/src/main/java/org/lovagegrade/testing/endpoint/FakeEndpoint.java
@@ -45,8 +45,8 @@
     private final Loop loop;
     private final Map<String, String> callStates = new HashMap<>();
     private final Map<String, Integer> runsByTag = new HashMap<>();
-    private final Map<String, Integer> runningByTeam = new HashMap<>();
-    private final Map<String, Integer> mostByTeam = new HashMap<>();
+    private final Map<String, Integer> runningByWorkspace = new HashMap<>();
+    private final Map<String, Integer> mostByWorkspace = new HashMap<>();
     private Undertow server;
     private int port;
     private String advertisedHost = "127.0.0.1";
@@ -198,8 +198,8 @@
                 .put("epoch", epoch);
         ObjectNode runs = node.putObject("runsByTag");
         runsByTag.forEach(runs::put);
-        ObjectNode teams = node.putObject("mostByTeam");
-        mostByTeam.forEach(teams::put);
+        ObjectNode workspaces = node.putObject("mostByTeam");
+        mostByWorkspace.forEach(workspaces::put);
         return node;
     }
 
@@ -311,34 +311,34 @@
             return;
         }
         callStates.put(id, "running");
-        String team = header(exchange, new HttpString("Test-Team"));
+        String workspace = header(exchange, new HttpString("Test-Team"));
         long startedEpoch = epoch;
-        begin(exchange, team);
+        begin(exchange, workspace);
         if (failing) {
-            end(exchange, id, team, startedEpoch, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
+            end(exchange, id, workspace, startedEpoch, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
         } else if (path.startsWith("/sleep/")) {
             loop.schedule(
                     Long.parseLong(path.substring("/sleep/".length())),
-                    () -> end(exchange, id, team, startedEpoch, StatusCodes.OK, "slept " + body));
+                    () -> end(exchange, id, workspace, startedEpoch, StatusCodes.OK, "slept " + body));
         } else if (path.equals("/fail")) {
-            end(exchange, id, team, startedEpoch, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
+            end(exchange, id, workspace, startedEpoch, StatusCodes.INTERNAL_SERVER_ERROR, "failed");
         } else if (path.startsWith("/big/")) {
             int bytes = Integer.parseInt(path.substring("/big/".length()));
-            end(exchange, id, team, startedEpoch, StatusCodes.OK, "x".repeat(bytes));
+            end(exchange, id, workspace, startedEpoch, StatusCodes.OK, "x".repeat(bytes));
         } else if (path.equals("/headers")) {
             end(
                     exchange,
                     id,
-                    team,
+                    workspace,
                     startedEpoch,
                     StatusCodes.OK,
                     exchange.getRequestHeaders().toString());
         } else if (!path.equals("/stall")) {
-            end(exchange, id, team, startedEpoch, StatusCodes.OK, profile.id() + " got " + body);
+            end(exchange, id, workspace, startedEpoch, StatusCodes.OK, profile.id() + " got " + body);
         }
     }
 
-    private void begin(HttpServerExchange exchange, String team) {
+    private void begin(HttpServerExchange exchange, String workspace) {
         running++;
         served++;
         if (leaving) {
@@ -346,16 +346,17 @@
         }
         mostRunning = Math.max(mostRunning, running);
         runsByTag.merge(header(exchange, new HttpString("Test-Tag")), 1, Integer::sum);
-        int ofTeam = runningByTeam.merge(team, 1, Integer::sum);
-        mostByTeam.merge(team, ofTeam, Math::max);
+        int ofWorkspace = runningByWorkspace.merge(workspace, 1, Integer::sum);
+        mostByWorkspace.merge(workspace, ofWorkspace, Math::max);
     }
 
-    private void end(HttpServerExchange exchange, String id, String team, long startedEpoch, int status, String body) {
+    private void end(
+            HttpServerExchange exchange, String id, String workspace, long startedEpoch, int status, String body) {
         running--;
         if (startedEpoch < epoch) {
             runningElsewhere = Math.max(0, runningElsewhere - 1);
         }
-        runningByTeam.merge(team, -1, Integer::sum);
+        runningByWorkspace.merge(workspace, -1, Integer::sum);
         callStates.put(id, "finished");
         exchange.getResponseHeaders().put(CALL_ID, otherCallId.isEmpty() ? id : otherCallId);
         answer(exchange, status, body);
--- a/testing/src/main/java/org/lovagegrade/testing/load/LoadMain.java
+++ b/testing/src/main/java/org/lovagegrade/testing/load/LoadMain.java
@@ -20,7 +20,7 @@
 
 /**
  * The program {@code load}: sends calls at a stated rate whether the last ones were answered or not, so that waiting is
- * not hidden, and tells what each team got.
+ * not hidden, and tells what each workspace got.
  */
 public final class LoadMain {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -35,21 +35,21 @@
     private final List<String> targets;
     private final HttpCaller http = HttpCaller.create();
     private final Loop loop = Loop.named("load");
-    private final Map<String, TeamResult> results = new TreeMap<>();
+    private final Map<String, WorkspaceResult> results = new TreeMap<>();
     private final Random random;
     private final String runId = Long.toHexString(System.currentTimeMillis());
     private long outstanding;
     private long sentInAll;
 
-    /** What one team got. */
-    private static final class TeamResult {
+    /** What one workspace got. */
+    private static final class WorkspaceResult {
         private final Histogram answeredUs = new Histogram(MOST_US, 3);
         private final Map<String, Integer> refusals = new TreeMap<>();
         private long sent;
     }
 
-    /** A team's part of the load. */
-    private record TeamLoad(String team, String key, double perSecond) {}
+    /** A workspace's part of the load. */
+    private record WorkspaceLoad(String workspace, String key, double perSecond) {}
 
     private LoadMain(List<String> targets, long seed) {
         this.targets = targets;
@@ -59,30 +59,30 @@
     /**
      * Runs the load and prints one JSON object.
      *
-     * @param args {@code --targets host:port,... --teams norte:secret:100,... --seconds 10 --path /v1/call/orders/x}
+     * @param args {@code --targets host:port,... --workspaces norte:secret:100,... --seconds 10 --path /v1/call/orders/x}
      * @throws InterruptedException if interrupted
      */
     public static void main(String[] args) throws InterruptedException {
         FakeOptions options = FakeOptions.parse(
                 args, "targets", "teams", "seconds", "path", "class", "seed", "method", "deadline-ms", "mode");
         LoadMain load = new LoadMain(options.list("targets"), options.number("seed", 1));
-        List<TeamLoad> teams = new ArrayList<>();
-        for (String team : options.list("teams")) {
-            String[] parts = team.split(":", -1);
+        List<WorkspaceLoad> workspaces = new ArrayList<>();
+        for (String workspace : options.list("teams")) {
+            String[] parts = workspace.split(":", -1);
             double rate = parts.length > 2 ? Double.parseDouble(parts[2]) : DEFAULT_RATE;
-            teams.add(new TeamLoad(parts[0], parts.length > 1 ? parts[1] : "", rate));
+            workspaces.add(new WorkspaceLoad(parts[0], parts.length > 1 ? parts[1] : "", rate));
         }
-        ObjectNode result = load.run(teams, options);
+        ObjectNode result = load.run(workspaces, options);
         System.out.println(result);
         System.exit(0);
     }
 
-    private ObjectNode run(List<TeamLoad> teams, FakeOptions options) throws InterruptedException {
+    private ObjectNode run(List<WorkspaceLoad> workspaces, FakeOptions options) throws InterruptedException {
         long startedNs = System.nanoTime();
         long lengthNs = options.number("seconds", DEFAULT_SECONDS) * NANOS_PER_SECOND;
-        for (TeamLoad team : teams) {
-            results.put(team.team(), new TeamResult());
-            loop.execute(() -> sendNext(team, startedNs, startedNs + lengthNs, options));
+        for (WorkspaceLoad workspace : workspaces) {
+            results.put(workspace.workspace(), new WorkspaceResult());
+            loop.execute(() -> sendNext(workspace, startedNs, startedNs + lengthNs, options));
         }
         Thread.sleep(TimeUnit.NANOSECONDS.toMillis(lengthNs));
         CountDownLatch done = new CountDownLatch(1);
@@ -103,25 +103,25 @@
     }
 
     /** Sends the call that is due at the given time, and plans the next by a Poisson process. */
-    private void sendNext(TeamLoad team, long dueNs, long endNs, FakeOptions options) {
+    private void sendNext(WorkspaceLoad workspace, long dueNs, long endNs, FakeOptions options) {
         if (dueNs >= endNs) {
             return;
         }
-        send(team, dueNs, options);
-        long gapNs = (long) (-Math.log(1 - random.nextDouble()) / team.perSecond() * NANOS_PER_SECOND);
+        send(workspace, dueNs, options);
+        long gapNs = (long) (-Math.log(1 - random.nextDouble()) / workspace.perSecond() * NANOS_PER_SECOND);
         long nextNs = dueNs + gapNs;
         long waitMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nextNs - System.nanoTime()) + 1);
-        loop.schedule(waitMs, () -> sendNext(team, nextNs, endNs, options));
+        loop.schedule(waitMs, () -> sendNext(workspace, nextNs, endNs, options));
     }
 
-    private void send(TeamLoad team, long dueNs, FakeOptions options) {
+    private void send(WorkspaceLoad workspace, long dueNs, FakeOptions options) {
         outstanding++;
-        results.get(team.team()).sent++;
+        results.get(workspace.workspace()).sent++;
         List<HttpHeader> headers = List.of(
-                new HttpHeader("Lovagegrade-Key", team.key()),
+                new HttpHeader("Lovagegrade-Key", workspace.key()),
                 new HttpHeader("Lovagegrade-Class", options.text("class", "fitting")),
                 new HttpHeader("Lovagegrade-Deadline-Ms", options.text("deadline-ms", "10000")),
-                new HttpHeader("Test-Team", team.team()));
+                new HttpHeader("Test-Team", workspace.workspace()));
         String target = targets.get(random.nextInt(targets.size()));
         boolean submits = options.text("mode", "call").equals("submit");
         List<HttpHeader> all = new ArrayList<>(headers);
@@ -132,7 +132,7 @@
                         submits ? "/v1/jobs" : options.text("path", "/v1/call/orders/x"),
                         all,
                         (submits ? jobBody(options) : "which harness?").getBytes(StandardCharsets.UTF_8))
-                .thenAccept(result -> loop.execute(() -> answered(team, dueNs, result)));
+                .thenAccept(result -> loop.execute(() -> answered(workspace, dueNs, result)));
     }
 
     private static String jobBody(FakeOptions options) {
@@ -140,14 +140,14 @@
                 + "\", \"tasks\": 1, \"cores\": 0.1, \"memoryMb\": 16, \"payload\": \"run-ms=100\"}";
     }
 
-    private void answered(TeamLoad team, long dueNs, HttpResult result) {
+    private void answered(WorkspaceLoad workspace, long dueNs, HttpResult result) {
         outstanding--;
-        TeamResult teamResult = results.get(team.team());
+        WorkspaceResult workspaceResult = results.get(workspace.workspace());
         if (result instanceof HttpResult.Whole whole && whole.status() == HTTP_OK) {
-            teamResult.answeredUs.recordValue(Math.min(MOST_US, (System.nanoTime() - dueNs) / NANOS_PER_US));
+            workspaceResult.answeredUs.recordValue(Math.min(MOST_US, (System.nanoTime() - dueNs) / NANOS_PER_US));
             return;
         }
-        teamResult.refusals.merge(reason(result), 1, Integer::sum);
+        workspaceResult.refusals.merge(reason(result), 1, Integer::sum);
     }
 
     private static String reason(HttpResult result) {
@@ -163,8 +163,8 @@
 
     private ObjectNode describe(int seconds) {
         ObjectNode all = JSON.createObjectNode();
-        results.forEach((team, result) -> {
-            ObjectNode node = all.putObject(team)
+        results.forEach((workspace, result) -> {
+            ObjectNode node = all.putObject(workspace)
                     .put("sent", result.sent)
                     .put("answered", result.answeredUs.getTotalCount())
                     .put("answeredPerSecond", (double) result.answeredUs.getTotalCount() / seconds)
--- a/testing/src/main/java/org/lovagegrade/testing/traces/Scenario.java
+++ b/testing/src/main/java/org/lovagegrade/testing/traces/Scenario.java
@@ -46,9 +46,9 @@
         fullCellOutcomes(trace);
     }
 
-    /** One team fills the cell, then all the others come at once. */
+    /** One workspace fills the cell, then all the others come at once. */
     private static void burst(TraceBuilder trace) {
-        String first = trace.site().teams().get(0).id();
+        String first = trace.site().workspaces().get(0).id();
         for (int i = 0; i < 3 * trace.site().workers(); i++) {
             trace.submit(
                     i * 20L,
@@ -59,12 +59,12 @@
                     4_096,
                     4 * MINUTE_MS + trace.random().nextInt(60_000));
         }
-        for (Site.TeamShare team :
-                trace.site().teams().subList(1, trace.site().teams().size())) {
+        for (Site.WorkspaceShare workspace :
+                trace.site().workspaces().subList(1, trace.site().workspaces().size())) {
             for (int i = 0; i < trace.site().workers(); i++) {
                 trace.submit(
                         MINUTE_MS + i,
-                        team.id(),
+                        workspace.id(),
                         "batch",
                         4,
                         2,
@@ -79,7 +79,8 @@
 
     private static void cancelWave(TraceBuilder trace) {
         for (int i = 0; i < 600; i++) {
-            String id = trace.batch(i * 50L, trace.anyTeam(), 90_000).get("id").asText();
+            String id =
+                    trace.batch(i * 50L, trace.anyWorkspace(), 90_000).get("id").asText();
             if (i % 3 != 0) {
                 trace.at(40_000 + i / 50, "cancel").put("id", id);
             }
@@ -91,7 +92,7 @@
 
     private static void lyingSizes(TraceBuilder trace) {
         for (int i = 0; i < 400; i++) {
-            ObjectNode job = trace.batch(i * 200L, trace.anyTeam(), 60_000);
+            ObjectNode job = trace.batch(i * 200L, trace.anyWorkspace(), 60_000);
             double factor = 0.3 + trace.random().nextDouble() * 1.7;
             job.put("usedCores", Math.round(job.get("cores").asDouble() * factor * 100) / 100.0);
             job.put("usedMemoryMb", (long) (job.get("memoryMb").asLong() * factor));
@@ -104,8 +105,8 @@
     private static void neverFitting(TraceBuilder trace) {
         int cores = trace.site().cores();
         for (int i = 0; i < 40; i++) {
-            trace.submit(i * 500L, trace.anyTeam(), "batch", 1, cores + 1 + i, 1_024, 10_000);
-            trace.gang(i * 500L + 100, trace.anyTeam(), trace.site().workers() + 1, cores);
+            trace.submit(i * 500L, trace.anyWorkspace(), "batch", 1, cores + 1 + i, 1_024, 10_000);
+            trace.gang(i * 500L + 100, trace.anyWorkspace(), trace.site().workers() + 1, cores);
         }
         overload(trace, 1_000, 2 * MINUTE_MS, 0.8);
         urgentStream(trace, 1_000, 2 * MINUTE_MS, 300);
@@ -151,14 +152,14 @@
 
     private static void loweredLimit(TraceBuilder trace) {
         overload(trace, 0, 3 * MINUTE_MS, 1.2);
-        Site.TeamShare team = trace.site().teams().get(0);
+        Site.WorkspaceShare workspace = trace.site().workspaces().get(0);
         trace.at(MINUTE_MS, "limit")
-                .put("team", team.id())
+                .put("team", workspace.id())
                 .put("limitCores", trace.site().cores() * 2)
                 .put("limitMemoryMb", trace.site().memoryMb())
                 .putNull("limitAccelerators");
         trace.at(2 * MINUTE_MS, "limit")
-                .put("team", team.id())
+                .put("team", workspace.id())
                 .putNull("limitCores")
                 .putNull("limitMemoryMb")
                 .putNull("limitAccelerators");
@@ -176,15 +177,15 @@
     /** The two-year size: 27,000 tasks running, 20,000 waiting, a peak of 1,900 starts a second. */
     private static void scale(TraceBuilder trace) {
         for (int i = 0; i < 5_400; i++) {
-            trace.service(i, trace.anyTeam(), 1);
+            trace.service(i, trace.anyWorkspace(), 1);
         }
         for (int i = 0; i < 8_000; i++) {
-            trace.batch(10_000 + i, trace.anyTeam(), 20_000);
+            trace.batch(10_000 + i, trace.anyWorkspace(), 20_000);
         }
         for (int i = 0; i < 30_000; i++) {
             trace.submit(
                     20_000 + i,
-                    trace.anyTeam(),
+                    trace.anyWorkspace(),
                     "batch",
                     1 + trace.random().nextInt(3),
                     4 + trace.random().nextInt(12),
@@ -197,12 +198,12 @@
     }
 
     private static void services(TraceBuilder trace) {
-        for (Site.TeamShare team : trace.site().teams()) {
-            trace.service(0, team.id(), 4);
+        for (Site.WorkspaceShare workspace : trace.site().workspaces()) {
+            trace.service(0, workspace.id(), 4);
         }
     }
 
-    /** Batch work at a multiple of the cell's size, split evenly between the teams. */
+    /** Batch work at a multiple of the cell's size, split evenly between the workspaces. */
     private static void overload(TraceBuilder trace, long fromMs, long toMs, double load) {
         long meanRunMs = 45_000;
         double coresPerJob = 3.5 * 2.125;
@@ -210,7 +211,7 @@
         double jobsPerMs = load * cell / (coresPerJob * meanRunMs);
         double atMs = fromMs;
         while (atMs < toMs) {
-            trace.batch((long) atMs, trace.anyTeam(), meanRunMs);
+            trace.batch((long) atMs, trace.anyWorkspace(), meanRunMs);
             atMs += -Math.log(1 - trace.random().nextDouble()) / jobsPerMs;
         }
     }
@@ -218,7 +219,7 @@
     private static void urgentStream(TraceBuilder trace, long fromMs, long toMs, long meanGapMs) {
         double atMs = fromMs;
         while (atMs < toMs) {
-            trace.urgent((long) atMs, trace.anyTeam());
+            trace.urgent((long) atMs, trace.anyWorkspace());
             atMs += -Math.log(1 - trace.random().nextDouble()) * meanGapMs;
         }
     }
@@ -228,7 +229,7 @@
             long atMs = fromMs + (toMs - fromMs) * i / count;
             trace.gang(
                     atMs,
-                    trace.anyTeam(),
+                    trace.anyWorkspace(),
                     4 + trace.random().nextInt(9),
                     trace.site().cores() / 4.0);
         }
--- a/testing/src/main/java/org/lovagegrade/testing/traces/Site.java
+++ b/testing/src/main/java/org/lovagegrade/testing/traces/Site.java
@@ -16,7 +16,7 @@
  * @param memoryMb the memory of a worker, in megabytes
  * @param acceleratedWorkers how many of the workers have accelerators
  * @param acceleratorsPerWorker how many accelerators each of these has
- * @param teams its teams
+ * @param workspaces its workspaces
  */
 public record Site(
         String name,
@@ -27,16 +27,16 @@
         int memoryMb,
         int acceleratedWorkers,
         int acceleratorsPerWorker,
-        List<TeamShare> teams) {
+        List<WorkspaceShare> workspaces) {
     private static final int MB_PER_GB = 1_024;
 
     /**
-     * A team and its share.
+     * A workspace and its share.
      *
-     * @param id the team's id
+     * @param id the workspace's id
      * @param share its share of a full cell
      */
-    public record TeamShare(String id, double share) {}
+    public record WorkspaceShare(String id, double share) {}
 
     /**
      * The site of Ruta Norte.
@@ -44,7 +44,7 @@
      * @return 30 workers of 16 cores in 4 failure domains
      */
     public static Site norte() {
-        return new Site("norte", 4, 30, 6, 16, 64 * MB_PER_GB, 6, 2, sixTeams("taller"));
+        return new Site("norte", 4, 30, 6, 16, 64 * MB_PER_GB, 6, 2, sixWorkspaces("taller"));
     }
 
     /**
@@ -53,20 +53,20 @@
      * @return 30 workers of 32 cores in 3 failure domains
      */
     public static Site tiangge() {
-        return new Site("tiangge", 3, 30, 8, 32, 128 * MB_PER_GB, 0, 0, sixTeams("bazaar"));
+        return new Site("tiangge", 3, 30, 8, 32, 128 * MB_PER_GB, 0, 0, sixWorkspaces("bazaar"));
     }
 
     /**
      * The size in two years.
      *
-     * @return 7,200 workers, 16,000 accelerators, 54 teams in 8 failure domains
+     * @return 7,200 workers, 16,000 accelerators, 54 workspaces in 8 failure domains
      */
     public static Site large() {
-        int teamCount = 54;
-        List<TeamShare> teams = IntStream.range(0, teamCount)
-                .mapToObj(i -> new TeamShare(String.format(Locale.ROOT, "team-%02d", i), 1.0 / teamCount))
+        int workspaceCount = 54;
+        List<WorkspaceShare> workspaces = IntStream.range(0, workspaceCount)
+                .mapToObj(i -> new WorkspaceShare(String.format(Locale.ROOT, "team-%02d", i), 1.0 / workspaceCount))
                 .toList();
-        return new Site("large", 8, 7_200, 36, 32, 128 * MB_PER_GB, 2_000, 8, teams);
+        return new Site("large", 8, 7_200, 36, 32, 128 * MB_PER_GB, 2_000, 8, workspaces);
     }
 
     /**
@@ -81,13 +81,13 @@
                 .findFirst();
     }
 
-    private static List<TeamShare> sixTeams(String prefix) {
+    private static List<WorkspaceShare> sixWorkspaces(String prefix) {
         return List.of(
-                new TeamShare(prefix + "-1", 0.35),
-                new TeamShare(prefix + "-2", 0.25),
-                new TeamShare(prefix + "-3", 0.15),
-                new TeamShare(prefix + "-4", 0.10),
-                new TeamShare(prefix + "-5", 0.10),
-                new TeamShare(prefix + "-6", 0.05));
+                new WorkspaceShare(prefix + "-1", 0.35),
+                new WorkspaceShare(prefix + "-2", 0.25),
+                new WorkspaceShare(prefix + "-3", 0.15),
+                new WorkspaceShare(prefix + "-4", 0.10),
+                new WorkspaceShare(prefix + "-5", 0.10),
+                new WorkspaceShare(prefix + "-6", 0.05));
     }
 }
--- a/testing/src/main/java/org/lovagegrade/testing/traces/TraceBuilder.java
+++ b/testing/src/main/java/org/lovagegrade/testing/traces/TraceBuilder.java
@@ -44,10 +44,11 @@
     }
 
     /** A job with ordinary sizes; the caller may change its fields. */
-    ObjectNode submit(long atMs, String team, String workClass, int tasks, double cores, int memoryMb, long runMs) {
+    ObjectNode submit(
+            long atMs, String workspace, String workClass, int tasks, double cores, int memoryMb, long runMs) {
         return at(atMs, "submit")
                 .put("id", String.format(Locale.ROOT, "%s-%05d", workClass, nextJob++))
-                .put("team", team)
+                .put("team", workspace)
                 .put("class", workClass)
                 .put("tasks", tasks)
                 .put("cores", cores)
@@ -57,22 +58,22 @@
                 .put("actualRunMs", runMs);
     }
 
-    ObjectNode batch(long atMs, String team, long meanRunMs) {
+    ObjectNode batch(long atMs, String workspace, long meanRunMs) {
         double cores = CORE_STEP * (1 + random.nextInt(16));
         int memoryMb = MEMORY_STEP_MB * (1 + random.nextInt(64));
-        return submit(atMs, team, "batch", 1 + random.nextInt(6), cores, memoryMb, runMs(meanRunMs));
+        return submit(atMs, workspace, "batch", 1 + random.nextInt(6), cores, memoryMb, runMs(meanRunMs));
     }
 
-    ObjectNode urgent(long atMs, String team) {
-        return submit(atMs, team, "urgent", 1, 0.5 + 0.5 * random.nextInt(3), 512, 200 + random.nextInt(3_000));
+    ObjectNode urgent(long atMs, String workspace) {
+        return submit(atMs, workspace, "urgent", 1, 0.5 + 0.5 * random.nextInt(3), 512, 200 + random.nextInt(3_000));
     }
 
-    ObjectNode gang(long atMs, String team, int tasks, double cores) {
-        return submit(atMs, team, "gang", tasks, cores, MEMORY_STEP_MB * 8, runMs(60_000));
+    ObjectNode gang(long atMs, String workspace, int tasks, double cores) {
+        return submit(atMs, workspace, "gang", tasks, cores, MEMORY_STEP_MB * 8, runMs(60_000));
     }
 
-    ObjectNode service(long atMs, String team, int tasks) {
-        ObjectNode node = submit(atMs, team, "service", tasks, 1, 2_048, 1);
+    ObjectNode service(long atMs, String workspace, int tasks) {
+        ObjectNode node = submit(atMs, workspace, "service", tasks, 1, 2_048, 1);
         return node.putNull("actualRunMs").put("declaredRunMs", 0);
     }
 
@@ -81,9 +82,9 @@
         at(lastMs, "outcome").put("measure", measure).put(bound, value);
     }
 
-    /** A team picked at random, evenly. */
-    String anyTeam() {
-        return site.teams().get(random.nextInt(site.teams().size())).id();
+    /** A workspace picked at random, evenly. */
+    String anyWorkspace() {
+        return site.workspaces().get(random.nextInt(site.workspaces().size())).id();
     }
 
     String worker(int index) {
@@ -116,10 +117,10 @@
                     .put("memoryMb", site.memoryMb())
                     .put("accelerators", isAccelerated ? site.acceleratorsPerWorker() : 0);
         }
-        for (Site.TeamShare team : site.teams()) {
+        for (Site.WorkspaceShare workspace : site.workspaces()) {
             at(0, "team")
-                    .put("id", team.id())
-                    .put("share", team.share())
+                    .put("id", workspace.id())
+                    .put("share", workspace.share())
                     .putNull("limitCores")
                     .putNull("limitMemoryMb")
                     .putNull("limitAccelerators");
