Elections stand one after the other, and a restart counts as silence

After the loss of a leader the chance alone cost 200 ms on average. Ruled out: a shorter timeout (disks stall), no waiting after a start (two leaders may decide at once: the fuzzer finds it). Change: the time that the start took counts, as no former life can have answered a leader since; asking beforehand is repeated after 150 to 300 ms; voters stand in turn, 75 ms apart, with 37 ms of chance, and only a real vote that was split is followed by a long wait by chance.

--- a/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
@@ -48,6 +48,14 @@
     private static final int MAX_BYTES_PER_MESSAGE = 1024 * 1024;
     private static final int SNAPSHOT_CHUNK_BYTES = 256 * 1024;
     private static final long CAUGHT_UP_ENTRIES = 64;
+    /** Beyond the election timeout, so that the others have waited for it too when the first one asks: a twentieth. */
+    private static final long MARGIN_PART = 20;
+    /** Voters stand one after the other, this part of the election timeout apart: longer than a vote takes. */
+    private static final long TURN_PART = 8;
+    /** Chance within a turn, for voters that see the membership differently. */
+    private static final long CHANCE_PART = 16;
+    /** Asking beforehand harms nobody, so it is done again after this part of the election timeout. */
+    private static final long ASK_AGAIN_PART = 4;
 
     private enum Role {
         FOLLOWER,
@@ -104,8 +112,8 @@
         }
         this.commitIndex = snapshot.getIndex();
         this.syncedIndex = storage.lastIndex();
-        this.lastLeaderContactMs = nowMs;
-        scheduleElection(nowMs);
+        this.lastLeaderContactMs = Math.min(nowMs, builder.silentSinceMs.orElse(nowMs));
+        scheduleElection(lastLeaderContactMs);
     }
 
     /**
@@ -398,7 +406,7 @@
             votedFor = self.toString();
             saveHardState();
         }
-        scheduleElection(nowMs);
+        scheduleNextCampaign(preVote, nowMs);
         votes.clear();
         votes.add(self.toString());
         if (Quorum.granted(membership().getVotersList(), votes)) {
@@ -508,8 +516,28 @@
         }
     }
 
+    /** When to stand if no leader is heard from now on. */
     private void scheduleElection(long nowMs) {
-        electionDueMs = nowMs + timings.electionTimeoutMs() + randomBelow.applyAsLong(timings.electionTimeoutMs());
+        long timeoutMs = timings.electionTimeoutMs();
+        long turnMs = turn() * timeoutMs / TURN_PART;
+        electionDueMs = nowMs + timeoutMs + timeoutMs / MARGIN_PART + turnMs + chanceBelowMs(timeoutMs / CHANCE_PART);
+    }
+
+    /** When to stand again if this campaign is not won; by chance, since a vote that was split must not split again. */
+    private void scheduleNextCampaign(boolean preVote, long nowMs) {
+        long timeoutMs = preVote ? timings.electionTimeoutMs() / ASK_AGAIN_PART : timings.electionTimeoutMs();
+        electionDueMs = nowMs + timeoutMs + chanceBelowMs(timeoutMs);
+    }
+
+    private long chanceBelowMs(long boundMs) {
+        return randomBelow.applyAsLong(Math.max(1, boundMs));
+    }
+
+    /** The place of this replica among the voters that may follow the leader it knows. */
+    private long turn() {
+        return membership().getVotersList().stream()
+                .filter(voter -> !voter.equals(leader) && voter.compareTo(self.toString()) < 0)
+                .count();
     }
 
     private void saveHardState() {
--- a/state/src/main/java/org/lovagegrade/state/consensus/RaftBuilder.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/RaftBuilder.java
@@ -1,5 +1,6 @@
 package org.lovagegrade.state.consensus;
 
+import java.util.OptionalLong;
 import java.util.function.LongUnaryOperator;
 
 /**
@@ -17,6 +18,7 @@
     RaftRules rules = RaftRules.safe();
     LongUnaryOperator randomBelow = bound -> bound / 2;
     int entriesPerMessage = DEFAULT_ENTRIES_PER_MESSAGE;
+    OptionalLong silentSinceMs = OptionalLong.empty();
 
     RaftBuilder(ReplicaId self, RaftStorage storage) {
         this.self = self;
@@ -78,6 +80,19 @@
         return this;
     }
 
+    /**
+     * Says since when this replica has answered no leader, for a start that took a while: its votes wait for leases that
+     * were granted before only. Without it the time of the start is taken.
+     *
+     * @param timeMs a time at which no former life of this replica ran any more, in milliseconds on the clock that
+     *     drives it
+     * @return this builder
+     */
+    public RaftBuilder silentSince(long timeMs) {
+        this.silentSinceMs = OptionalLong.of(timeMs);
+        return this;
+    }
+
     /**
      * Creates the replica as a follower.
      *
--- a/state/src/test/java/org/lovagegrade/state/consensus/FuzzedGroup.java
+++ b/state/src/test/java/org/lovagegrade/state/consensus/FuzzedGroup.java
@@ -25,8 +25,15 @@
     private static final RaftTimings TIMINGS = RaftTimings.of(10, 100);
     private static final int STEP_MS = 5;
     private static final int LONGEST_DELAY_MS = 25;
+    /** For groups whose elections are short against a lease. */
+    private static final int LONGEST_SHORT_DELAY_MS = 6;
+
     private static final int LONGEST_PAUSE_MS = 600;
+    /** Shorter than a lease, for replicas that are back soon. */
+    private static final int SHORT_PAUSE_MS = 60;
+
     private static final int MOST_LOST_DISKS = 3;
+    private static final long LONG_AGO_MS = 10_000;
 
     /**
      * Which protections are taken out.
@@ -35,19 +42,22 @@
      * @param syncsBeforeSending whether what is written is synced before messages leave
      * @param newIdentityAfterLostDisk whether a replica without its disk comes back as another
      * @param tellsCommittedMembership whether a repair is told only once a quorum has it
+     * @param waitsOutLeases whether a replica that starts again waits for the leases that it has granted before
      */
     record Protections(
             RaftRules rules,
             boolean syncsBeforeSending,
             boolean newIdentityAfterLostDisk,
-            boolean tellsCommittedMembership) {
+            boolean tellsCommittedMembership,
+            boolean waitsOutLeases) {
         static Protections all() {
-            return new Protections(RaftRules.safe(), true, true, true);
+            return new Protections(RaftRules.safe(), true, true, true, true);
         }
     }
 
     private final Random random;
     private final Protections protections;
+    private final int longestDelayMs;
     private final List<Node> nodes = new ArrayList<>();
     private final PriorityQueue<InFlight> network =
             new PriorityQueue<>(Comparator.comparingLong(InFlight::atMs).thenComparingLong(InFlight::sequence));
@@ -70,6 +80,7 @@
         private MemoryStorage storage = new MemoryStorage();
         private Raft raft;
         private long downUntilMs;
+        private long downSinceMs;
         private boolean paused;
         private long applied;
         private final TreeMap<Long, LogEntryProto> machine = new TreeMap<>();
@@ -83,6 +94,7 @@
     FuzzedGroup(long seed, int size, Protections protections) {
         this.random = new Random(seed);
         this.protections = protections;
+        this.longestDelayMs = seed % 2 == 0 ? LONGEST_DELAY_MS : LONGEST_SHORT_DELAY_MS;
         MembershipProto.Builder voters = MembershipProto.newBuilder();
         for (int i = 0; i < size; i++) {
             voters.addVoters(ReplicaId.first("s" + i).toString());
@@ -151,12 +163,30 @@
             loseDisk(node);
         } else if (dice < 55) {
             snapshot(node);
+        } else if (dice < 60) {
+            crashAllBut(node);
+        }
+    }
+
+    /** Most processes are killed at the same moment and are back soon; the one that is left may be paused. */
+    private void crashAllBut(Node spared) {
+        if (random.nextBoolean()) {
+            goDown(spared, true);
+        }
+        for (Node node : nodes) {
+            if (node != spared && node.downUntilMs <= nowMs) {
+                node.storage.crash();
+                goDown(node, false);
+                node.downUntilMs = nowMs + random.nextInt(SHORT_PAUSE_MS);
+            }
         }
     }
 
     private void goDown(Node node, boolean paused) {
         node.paused = paused;
-        node.downUntilMs = nowMs + random.nextInt(LONGEST_PAUSE_MS);
+        node.downSinceMs = nowMs;
+        boolean isShort = random.nextInt(4) == 0;
+        node.downUntilMs = nowMs + random.nextInt(isShort ? SHORT_PAUSE_MS : LONGEST_PAUSE_MS);
     }
 
     /** The next disk is lost as soon as the leader tells that the former loss is repaired, the leader's too. */
@@ -214,6 +244,7 @@
                 .ruledBy(protections.rules())
                 .randomizedBy(bound -> random.nextInt((int) bound))
                 .sendingAtMost(1 + random.nextInt(3))
+                .silentSince(protections.waitsOutLeases() ? node.downSinceMs : nowMs - LONG_AGO_MS)
                 .startingAt(nowMs);
         long snapshotIndex = node.storage.snapshotMeta().getIndex();
         node.machine.tailMap(snapshotIndex, false).clear();
@@ -286,7 +317,7 @@
         if (random.nextDouble() < lossRate) {
             return;
         }
-        network.add(new InFlight(nowMs + random.nextInt(LONGEST_DELAY_MS), nextSequence++, message));
+        network.add(new InFlight(nowMs + random.nextInt(longestDelayMs), nextSequence++, message));
         if (random.nextInt(50) == 0) {
             network.add(new InFlight(nowMs + 200 + random.nextInt(400), nextSequence++, message));
         }
--- a/state/src/test/java/org/lovagegrade/state/consensus/RaftFuzzTest.java
+++ b/state/src/test/java/org/lovagegrade/state/consensus/RaftFuzzTest.java
@@ -35,7 +35,7 @@
     final class Checks {
         @Test
         void shouldCatchVotesThatAreNotSynced() {
-            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), false, true, true));
+            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), false, true, true, true));
         }
 
         @Test
@@ -51,18 +51,23 @@
 
         @Test
         void shouldCatchADiskLoserThatVotes() {
-            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, false, true));
+            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, false, true, true));
         }
 
         @Test
         void shouldCatchTheLeaseOfAPausedLeader() {
             RaftRules rules = RaftRules.safe().withLease((_nowMs, _untilMs) -> true);
-            assertIsCaught(new FuzzedGroup.Protections(rules, true, true, true));
+            assertIsCaught(new FuzzedGroup.Protections(rules, true, true, true, true));
         }
 
         @Test
         void shouldCatchARepairThatIsToldBeforeAQuorumHasIt() {
-            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, true, false));
+            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, true, false, true));
+        }
+
+        @Test
+        void shouldCatchAVoteBeforeTheLeasesOfAFormerLifeHaveRunOut() {
+            assertIsCaught(new FuzzedGroup.Protections(RaftRules.safe(), true, true, true, false));
         }
 
         private void assertIsCaught(FuzzedGroup.Protections protections) {
