Entries ask around when the leader is late, and stay with one that had too little time

Ruled out: the new leader's commits (introduced to all workers by 34.17 s), stale versions of the desired state. Change: a request unanswered for 250 ms is put to the other replicas too, one each 80 ms; whoever leads by then answers, a follower names its leader. An attempt that had less than 250 ms says nothing about its replica. An offer to the adviser's board says how long the leader may hold it.

--- a/graph/src/main/java/org/lovagegrade/graph/client/AdviceCaller.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/AdviceCaller.java
@@ -20,6 +20,8 @@
 
     /** Longer than a leader holds an offer. */
     private static final long OFFER_TIMEOUT_MS = 2_000;
+    /** How long the leader may keep an offer without a question for it, as its board does. */
+    private static final long HOLD_OFFER_MS = 500;
 
     private static final long PAUSE_MS = 200;
 
@@ -71,7 +73,7 @@
                 .setCaller(caller)
                 .addAllResults(results)
                 .build();
-        client.ask(GraphRequestProto.newBuilder().setAdvice(poll).build(), OFFER_TIMEOUT_MS, OFFER_TIMEOUT_MS)
+        client.ask(GraphRequestProto.newBuilder().setAdvice(poll).build(), OFFER_TIMEOUT_MS, HOLD_OFFER_MS)
                 .thenAccept(this::answered);
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
@@ -32,6 +32,10 @@
 
     private static final long ATTEMPT_TIMEOUT_MS = 800;
     private static final long PAUSE_MS = 40;
+    /** A sound leader answers in a tenth of this; beyond it the other replicas are asked as well. */
+    private static final long LATE_MS = 250;
+    /** The pause between two replicas that are asked while one keeps silent. */
+    private static final long AROUND_PAUSE_MS = 80;
     /** An election takes less; without a leader for this long, a caller does better elsewhere. */
     private static final long LEADERLESS_MS = 1_000;
 
@@ -84,21 +88,21 @@
      * @return completes with the answer on the loop, never exceptionally
      */
     public CompletableFuture<LeaderAnswer> ask(GraphRequestProto request, long timeoutMs) {
-        return ask(request, timeoutMs, ATTEMPT_TIMEOUT_MS);
+        return ask(request, timeoutMs, 0);
     }
 
     /**
-     * Asks the leader, and gives each attempt its own time.
+     * Asks the leader for something that it may hold back for a while.
      *
      * @param request the request; taking it in twice must do no harm
      * @param timeoutMs how long to try, in milliseconds
-     * @param attemptMs how long to wait for one replica, in milliseconds
+     * @param heldMs how long a sound leader may hold its answer, in milliseconds
      * @return completes with the answer on the loop, never exceptionally
      */
-    public CompletableFuture<LeaderAnswer> ask(GraphRequestProto request, long timeoutMs, long attemptMs) {
+    public CompletableFuture<LeaderAnswer> ask(GraphRequestProto request, long timeoutMs, long heldMs) {
         EnvelopeProto envelope =
                 EnvelopeProto.newBuilder().setGraphRequest(request).build();
-        Question question = new Question(envelope, clock.nowMs() + timeoutMs, attemptMs);
+        Question question = new Question(envelope, clock.nowMs() + timeoutMs, heldMs);
         loop.execute(() -> attempt(question));
         return question.result;
     }
@@ -130,16 +134,21 @@
     private static final class Question {
         private final EnvelopeProto request;
         private final long deadlineMs;
-        private final long attemptMs;
+        private final long heldMs;
         private final CompletableFuture<LeaderAnswer> result = new CompletableFuture<>();
         private boolean perhapsTaken;
-        private boolean hasTried;
+        private int attempts;
         private String lastReason = "no replica is known";
 
-        Question(EnvelopeProto request, long deadlineMs, long attemptMs) {
+        Question(EnvelopeProto request, long deadlineMs, long heldMs) {
             this.request = request;
             this.deadlineMs = deadlineMs;
-            this.attemptMs = attemptMs;
+            this.heldMs = heldMs;
+        }
+
+        /** Whether an attempt is the last one made, and is not answered. */
+        boolean isPending(int attempt) {
+            return attempt == attempts && !result.isDone();
         }
 
         void giveUp() {
@@ -152,11 +161,11 @@
         long nowMs = clock.nowMs();
         long leftMs = question.deadlineMs - nowMs;
         boolean isHopeless = isSeeking && nowMs - seekingSinceMs > LEADERLESS_MS;
-        if (isHopeless && question.hasTried) {
+        if (isHopeless && question.attempts > 0) {
             question.giveUp();
             return;
         }
-        question.hasTried = true;
+        question.attempts++;
         List<String> hosts = hosts();
         if (leftMs <= 0 || hosts.isEmpty()) {
             question.giveUp();
@@ -165,10 +174,16 @@
         if (!hosts.contains(preferred)) {
             preferred = hosts.get(0);
         }
+        int attempt = question.attempts;
         String tried = preferred;
-        links.computeIfAbsent(tried, host -> RpcLink.to(loops, new Address(host, port), clock))
-                .call(question.request, Math.min(leftMs, question.attemptMs))
-                .thenAccept(result -> loop.execute(() -> came(question, tried, result)));
+        call(tried, question, Math.min(leftMs, ATTEMPT_TIMEOUT_MS + question.heldMs))
+                .thenAccept(result -> loop.execute(() -> came(question, attempt, tried, nowMs, result)));
+        loop.schedule(LATE_MS + question.heldMs, () -> askAround(question, attempt, tried, tried));
+    }
+
+    private CompletableFuture<RpcResult> call(String host, Question question, long timeoutMs) {
+        return links.computeIfAbsent(host, to -> RpcLink.to(loops, new Address(to, port), clock))
+                .call(question.request, timeoutMs);
     }
 
     private List<String> hosts() {
@@ -177,29 +192,90 @@
         return new ArrayList<>(all);
     }
 
-    private void came(Question question, String tried, RpcResult result) {
+    private String hostAfter(String host) {
+        List<String> hosts = hosts();
+        return hosts.isEmpty() ? host : hosts.get((hosts.indexOf(host) + 1) % hosts.size());
+    }
+
+    private void came(Question question, int attempt, String tried, long askedAtMs, RpcResult result) {
         if (result instanceof RpcResult.Answered answered) {
-            answered(question, tried, answered.envelope().getGraphReply());
+            answered(question, attempt, tried, answered.envelope().getGraphReply());
         } else if (result instanceof RpcResult.NotSent notSent) {
-            question.lastReason = notSent.reason();
-            moveOn(tried, "");
-            again(question);
+            unanswered(question, attempt, tried, notSent.reason());
         } else if (result instanceof RpcResult.Lost lost) {
             question.perhapsTaken = true;
-            question.lastReason = lost.reason();
-            moveOn(tried, "");
+            boolean hadTime = clock.nowMs() - askedAtMs >= LATE_MS;
+            unanswered(question, attempt, hadTime ? tried : "", lost.reason());
+        }
+    }
+
+    private void unanswered(Question question, int attempt, String silent, String reason) {
+        question.lastReason = reason;
+        moveOn(silent, "");
+        if (question.isPending(attempt)) {
             again(question);
         }
     }
 
-    private void answered(Question question, String tried, GraphReplyProto reply) {
+    // --- leaders that are late
+
+    /**
+     * Asks the other replicas, one after the other, while the one that was asked keeps silent; each tells whom it
+     * follows, and one that leads by now answers. The question is the same, so nothing is done twice.
+     */
+    private void askAround(Question question, int attempt, String tried, String last) {
+        if (!question.isPending(attempt) || clock.nowMs() >= question.deadlineMs) {
+            return;
+        }
+        question.perhapsTaken = true;
+        if (!preferred.equals(tried)) {
+            attempt(question);
+            return;
+        }
+        seek(tried, "");
+        String next = hostAfter(last);
+        String other = next.equals(tried) ? hostAfter(tried) : next;
+        if (other.equals(tried)) {
+            return;
+        }
+        call(other, question, LATE_MS)
+                .thenAccept(result -> loop.execute(() -> {
+                    if (!question.isPending(attempt)) {
+                        return;
+                    }
+                    if (result instanceof RpcResult.Answered answered
+                            && leadsTo(
+                                    question, other, tried, answered.envelope().getGraphReply())) {
+                        return;
+                    }
+                    loop.schedule(AROUND_PAUSE_MS, () -> askAround(question, attempt, tried, other));
+                }));
+    }
+
+    /** Whether the word of another replica answers the question or names a leader other than the silent one. */
+    private boolean leadsTo(Question question, String other, String silent, GraphReplyProto reply) {
+        if (reply.getStatus() == GraphStatusProto.GRAPH_OK && reply.getDocumentVersion() >= highestVersion) {
+            answered(question, question.attempts, other, reply);
+            return true;
+        }
+        String hint = reply.getStatus() == GraphStatusProto.GRAPH_NOT_LEADER ? reply.getLeader() : "";
+        if (hint.isEmpty() || hint.equals(silent)) {
+            return false;
+        }
+        if (preferred.equals(silent)) {
+            replicas.add(hint);
+            preferred = hint;
+        }
+        attempt(question);
+        return true;
+    }
+
+    private void answered(Question question, int attempt, String tried, GraphReplyProto reply) {
         replicas.addAll(reply.getReplicasList());
         boolean isFromPast =
                 reply.getStatus() == GraphStatusProto.GRAPH_OK && reply.getDocumentVersion() < highestVersion;
         if (isFromPast) {
-            question.lastReason = "the leader that answered has been replaced";
-            moveOn(tried, "");
-            again(question);
+            unanswered(question, attempt, tried, "the leader that answered has been replaced");
             return;
         }
         switch (reply.getStatus()) {
@@ -213,13 +289,13 @@
             case GRAPH_NOT_LEADER, GRAPH_BUSY -> {
                 question.lastReason = "no leader";
                 moveOn(tried, reply.getLeader());
-                again(question);
+                if (question.isPending(attempt)) {
+                    again(question);
+                }
             }
             default -> {
                 question.perhapsTaken = true;
-                question.lastReason = "the leader changed";
-                moveOn(tried, "");
-                again(question);
+                unanswered(question, attempt, tried, "the leader changed");
             }
         }
     }
@@ -227,6 +303,7 @@
     private void found(String host) {
         if (isSeeking) {
             isSeeking = false;
+            preferred = host;
             Log.event("leaderFound").with("host", host).info();
         }
     }
@@ -239,13 +316,16 @@
         if (!preferred.equals(tried)) {
             return;
         }
-        List<String> hosts = hosts();
         if (!hint.isEmpty() && !hint.equals(tried)) {
             replicas.add(hint);
             preferred = hint;
-        } else if (!hosts.isEmpty()) {
-            preferred = hosts.get((hosts.indexOf(tried) + 1) % hosts.size());
+        } else {
+            preferred = hostAfter(tried);
         }
+        seek(tried, hint);
+    }
+
+    private void seek(String tried, String hint) {
         if (!isSeeking) {
             isSeeking = true;
             seekingSinceMs = clock.nowMs();
