--- a/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
@@ -37,7 +37,7 @@
     /** The pause between two replicas that are asked while one keeps silent. */
     private static final long AROUND_PAUSE_MS = 80;
     /** An election takes less; without a leader for this long, a caller does better elsewhere. */
-    private static final long LEADERLESS_MS = 800;
+    private static final long LEADERLESS_MS = 1_000;
 
     private final Loops loops;
     private final Loop loop;
