No starts to a failure domain whose workers leave starts unanswered

Ruled out: shorter leases (work that survives a cut would be lost), giving doubts up earlier (a second run could start). Change: a worker whose oldest start waits for 150 ms gets no other (sound ones answer in a tenth of it); when two workers of one failure domain are so late and none of the domain is heard, none of it gets starts until one is.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.lovagegrade.graph.advice.AdviceBoard;
 import org.lovagegrade.graph.advice.Verdict;
@@ -357,8 +358,10 @@
     private List<WorkerSlot> slots(long nowMs) {
         Map<String, WorkerSlot> slots = new HashMap<>();
         List<WorkerSlot> usable = new ArrayList<>();
+        Set<String> silent = SilentDomains.among(driver.sessions(), nowMs);
         for (WorkerSession session : driver.sessions()) {
-            boolean isWell = health.mayTake(session.id(), session.record.runs().size(), nowMs);
+            boolean isWell = health.mayTake(session.id(), session.record.runs().size(), nowMs)
+                    && !silent.contains(session.info().getFailureDomain());
             if (isWell && session.isUsable(nowMs)) {
                 Room capacity = Room.of(session.info().getCapacity());
                 WorkerSlot slot = new WorkerSlot(session.info(), capacity.minus(session.record.used()));
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -251,6 +251,7 @@
 
     private void start(WorkerSession session, RunOrder order, long nowMs) {
         order.inFlight = true;
+        session.startSent(order.run.key(), nowMs);
         StartOrder message = new StartOrder(
                 order.run.key(),
                 order.run.step().job().graph().getPayload(),
@@ -363,6 +364,7 @@
     private void onThread(WorkerSession session, RunOrder order, Runnable task) {
         replicaThread.execute(() -> {
             order.inFlight = false;
+            session.startSettled(order.run.key());
             boolean isCurrent =
                     !closed && sessions.get(session.id()) == session && session.orders.get(order.run.key()) == order;
             if (isCurrent) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import org.lovagegrade.graph.machine.RunKey;
@@ -12,6 +13,8 @@
 final class WorkerSession {
     /** A worker that answered nothing for this long gets no starts. */
     private static final long SILENT_MS = 3_000;
+    /** A worker that leaves a start unanswered for this long gets no other; sound ones answer in a tenth of it. */
+    private static final long LATE_START_MS = 150;
 
     final WorkerRecord record;
     final WorkerClock clock = new WorkerClock();
@@ -21,6 +24,9 @@
     /** Runs with a start that was not answered, and until when such an order may still arrive. */
     final Map<RunKey, Long> doubtedUntilMs = new HashMap<>();
 
+    /** When each start that is not answered yet was sent, the oldest first. */
+    private final Map<RunKey, Long> startsSentMs = new LinkedHashMap<>();
+
     boolean introduced;
     boolean lapsed;
     boolean leaving;
@@ -53,6 +59,25 @@
         unanswered = false;
     }
 
+    void startSent(RunKey run, long nowMs) {
+        startsSentMs.put(run, nowMs);
+    }
+
+    void startSettled(RunKey run) {
+        startsSentMs.remove(run);
+    }
+
+    /** Whether a start waits for its answer for longer than a sound worker takes. */
+    boolean isLate(long nowMs) {
+        return !startsSentMs.isEmpty()
+                && nowMs - startsSentMs.values().iterator().next() >= LATE_START_MS;
+    }
+
+    /** Whether the worker has said anything within the time that a start may take. */
+    boolean isHeard(long nowMs) {
+        return nowMs - heardAtMs < LATE_START_MS;
+    }
+
     /** Whether new runs may be ordered here. */
     boolean isUsable(long nowMs) {
         return introduced
@@ -60,6 +85,7 @@
                 && !leaving
                 && !goneProposed
                 && !unanswered
+                && !isLate(nowMs)
                 && !info().getDraining()
                 && unwellUntilMs <= nowMs
                 && nowMs - heardAtMs < SILENT_MS;
