--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -17,6 +17,7 @@
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.StepRecord;
+import org.lovagegrade.graph.machine.TaskRecord;
 import org.lovagegrade.graph.machine.WorkerRecord;
 import org.lovagegrade.graph.planning.AdviceWish;
 import org.lovagegrade.graph.planning.Placement;
@@ -197,8 +198,8 @@
     /** A gang that has lost a member can't complete; its other members need not wait for it. */
     private void stopOtherMembers(RunRecord lost) {
         long nowMs = clock.nowMs();
-        for (RunRecord run : List.copyOf(machine.runs().values())) {
-            if (run.step() == lost.step() && run.key().run() == lost.key().run()) {
+        for (RunRecord run : List.copyOf(lost.step().runs())) {
+            if (run.key().run() == lost.key().run()) {
                 driver.unwanted(run, nowMs);
             }
         }
@@ -312,7 +313,7 @@
         List<StepDemand> demands = new ArrayList<>();
         for (JobRecord job : machine.active()) {
             Optional<QueueProto> queue = machine.queue(job.graph().getQueue());
-            if (queue.isEmpty()) {
+            if (queue.isEmpty() || job.waiting() == 0) {
                 continue;
             }
             for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
@@ -337,9 +338,12 @@
             return Optional.empty();
         }
         List<Integer> waiting = new ArrayList<>();
+        boolean isGang = step.spec().getGang();
+        int gangRun = isGang ? step.nextGangRun() : 0;
         for (int index = 0; index < step.tasks().size(); index++) {
-            boolean isPlanned = planned.containsKey(new RunKey(step.key(index), nextRun(step, index)));
-            if (step.tasks().get(index).waits() && !isPlanned) {
+            TaskRecord task = step.tasks().get(index);
+            int run = isGang ? gangRun : task.run() + 1;
+            if (task.waits() && !planned.containsKey(new RunKey(step.key(index), run))) {
                 waiting.add(index);
             }
         }
@@ -349,12 +353,6 @@
                         step, queue, waiting, urgency, dueAtMs, index -> health.failedAt(step.key(index))));
     }
 
-    private static int nextRun(StepRecord step, int index) {
-        return step.spec().getGang()
-                ? step.nextGangRun()
-                : step.tasks().get(index).run() + 1;
-    }
-
     private List<WorkerSlot> slots(long nowMs) {
         Map<String, WorkerSlot> slots = new HashMap<>();
         List<WorkerSlot> usable = new ArrayList<>();
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphMachine.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphMachine.java
@@ -2,11 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +16,6 @@
 import org.lovagegrade.wire.proto.EndsProto;
 import org.lovagegrade.wire.proto.FleetDocumentProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
-import org.lovagegrade.wire.proto.GraphJobProto;
 import org.lovagegrade.wire.proto.GraphProto;
 import org.lovagegrade.wire.proto.GraphReplyProto;
 import org.lovagegrade.wire.proto.GraphSnapshotProto;
@@ -29,7 +25,6 @@
 import org.lovagegrade.wire.proto.StartProto;
 import org.lovagegrade.wire.proto.StartsProto;
 import org.lovagegrade.wire.proto.TaskStateGraphProto;
-import org.lovagegrade.wire.proto.WorkerCursorProto;
 import org.lovagegrade.wire.proto.WorkerGoneProto;
 import org.lovagegrade.wire.proto.WorkerProto;
 
@@ -42,20 +37,15 @@
 public final class GraphMachine {
     private static final int DEFAULT_MAX_ATTEMPTS = 1;
 
-    private final Map<String, JobRecord> jobs = new LinkedHashMap<>();
-    private final Map<String, JobRecord> active = new LinkedHashMap<>();
-    private final Deque<JobRecord> ended = new ArrayDeque<>();
-    private final Map<RunKey, RunRecord> runs = new LinkedHashMap<>();
-    private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
+    private final JobRegister jobs;
+    private final RunRegister runs = new RunRegister();
     private final Map<String, QueueProto> knownQueues = new TreeMap<>();
-    private final Map<String, Room> usedByWorkspace = new TreeMap<>();
-    private final long keepEndedMs;
     private FleetDocument document;
     private MachineListener listener = MachineListener.NONE;
     private long clockMs;
 
     private GraphMachine(long keepEndedMs) {
-        this.keepEndedMs = keepEndedMs;
+        this.jobs = new JobRegister(keepEndedMs);
     }
 
     /**
@@ -93,7 +83,7 @@
      * @return the job, or empty if there is none or it ended long ago
      */
     public Optional<JobRecord> job(String id) {
-        return Optional.ofNullable(jobs.get(id));
+        return jobs.find(id);
     }
 
     /**
@@ -102,7 +92,7 @@
      * @return the jobs
      */
     public Collection<JobRecord> active() {
-        return Collections.unmodifiableCollection(active.values());
+        return jobs.active();
     }
 
     /**
@@ -111,7 +101,7 @@
      * @return the workers by their ids
      */
     public Map<String, WorkerRecord> workers() {
-        return Collections.unmodifiableMap(workers);
+        return runs.workers();
     }
 
     /**
@@ -120,7 +110,7 @@
      * @return the runs by their keys
      */
     public Map<RunKey, RunRecord> runs() {
-        return Collections.unmodifiableMap(runs);
+        return runs.runs();
     }
 
     /**
@@ -130,7 +120,7 @@
      * @return the sum over all runs whose end is not committed
      */
     public Room usedBy(String workspace) {
-        return usedByWorkspace.getOrDefault(workspace, Room.NONE);
+        return runs.usedBy(workspace);
     }
 
     /**
@@ -151,7 +141,7 @@
      */
     public GraphReplyProto apply(GraphCommandProto command) {
         clockMs = Math.max(clockMs, command.getAtMs());
-        forgetOld();
+        jobs.forgetOld(clockMs);
         switch (command.getBodyCase()) {
             case CONFIGURE -> {
                 return configure(command.getConfigure());
@@ -203,43 +193,30 @@
     // --- jobs
 
     private GraphReplyProto submit(GraphProto graph) {
-        if (!jobs.containsKey(graph.getId())) {
+        if (jobs.find(graph.getId()).isEmpty()) {
             JobRecord job = new JobRecord(graph, clockMs);
-            jobs.put(job.id(), job);
-            active.put(job.id(), job);
+            jobs.add(job);
             listener.accepted(job);
         }
         return callerReply(CallerOutcomeProto.CALLER_OK);
     }
 
     private GraphReplyProto cancel(String id) {
-        JobRecord job = jobs.get(id);
-        if (job == null) {
+        Optional<JobRecord> job = jobs.find(id);
+        if (job.isEmpty()) {
             return callerReply(CallerOutcomeProto.CALLER_GONE);
         }
-        if (!job.isOver()) {
-            finish(job, GraphStateProto.GRAPH_CANCELLED);
+        if (!job.get().isOver()) {
+            finish(job.get(), GraphStateProto.GRAPH_CANCELLED);
         }
         return callerReply(CallerOutcomeProto.CALLER_OK);
     }
 
     private void finish(JobRecord job, GraphStateProto state) {
-        job.state = state;
-        job.endedAtMs = clockMs;
-        active.remove(job.id());
-        ended.add(job);
+        jobs.end(job, state, clockMs);
         listener.over(job);
-        for (RunRecord run : List.copyOf(runs.values())) {
-            if (run.step().job() == job) {
-                listener.unwanted(run);
-            }
-        }
-    }
-
-    private void forgetOld() {
-        while (!ended.isEmpty() && ended.peek().endedAtMs + keepEndedMs < clockMs) {
-            JobRecord old = ended.poll();
-            jobs.remove(old.id(), old);
+        for (List<StepRecord> steps : job.occurrences()) {
+            steps.forEach(step -> List.copyOf(step.runs()).forEach(listener::unwanted));
         }
     }
 
@@ -269,7 +246,8 @@
         Map<String, List<StartProto>> groups = new LinkedHashMap<>();
         for (StartProto start : starts.getStartsList()) {
             TaskKey key = TaskKey.of(start.getTask());
-            boolean isGang = step(key).map(found -> found.spec().getGang()).orElse(false);
+            boolean isGang =
+                    jobs.stepOf(key).map(found -> found.spec().getGang()).orElse(false);
             groups.computeIfAbsent(isGang ? key.stepName() : key.toString(), _name -> new ArrayList<>())
                     .add(start);
         }
@@ -278,69 +256,41 @@
 
     private boolean mayStart(StartProto start) {
         TaskKey key = TaskKey.of(start.getTask());
-        Optional<StepRecord> step = step(key);
+        Optional<StepRecord> step = jobs.stepOf(key);
         if (step.isEmpty() || step.get().job().isOver()) {
             return false;
         }
         TaskRecord task = step.get().tasks().get(key.index());
-        WorkerRecord worker = workers.get(start.getWorker());
+        Optional<WorkerRecord> worker = runs.worker(start.getWorker(), start.getBornMs());
         return task.waits()
                 && start.getRun() > task.run
-                && worker != null
-                && worker.info.getBornMs() == start.getBornMs()
-                && !worker.info.getDraining()
-                && !runs.containsKey(new RunKey(key, task.run));
+                && worker.isPresent()
+                && !worker.get().info.getDraining()
+                && !runs.runs().containsKey(new RunKey(key, task.run));
     }
 
     private void begin(StartProto start) {
         TaskKey key = TaskKey.of(start.getTask());
-        StepRecord step = step(key).orElseThrow();
+        StepRecord step = jobs.stepOf(key).orElseThrow();
         TaskRecord task = step.tasks().get(key.index());
-        task.state = TaskStateGraphProto.GRAPH_TASK_RUNNING;
+        step.move(task, TaskStateGraphProto.GRAPH_TASK_RUNNING);
         task.run = start.getRun();
         if (step.job().state == GraphStateProto.GRAPH_QUEUED) {
             step.job().state = GraphStateProto.GRAPH_RUNNING;
         }
-        RunRecord run = new RunRecord(
-                new RunKey(key, start.getRun()), step, start.getWorker(), start.getBornMs(), start.getCheckpoint());
-        take(run);
+        RunRecord run = RunRecord.of(start, step);
+        runs.take(run);
         listener.started(run);
     }
 
-    private void take(RunRecord run) {
-        runs.put(run.key(), run);
-        workers.get(run.worker()).add(run);
-        usedByWorkspace.merge(workspaceOf(run), run.step().perTask(), Room::plus);
-    }
-
-    private void release(RunRecord run) {
-        runs.remove(run.key());
-        WorkerRecord worker = workers.get(run.worker());
-        if (worker != null) {
-            worker.remove(run);
-        }
-        usedByWorkspace.computeIfPresent(
-                workspaceOf(run), (_name, used) -> used.minus(run.step().perTask()));
-    }
-
-    private static String workspaceOf(RunRecord run) {
-        return run.step().job().graph().getWorkspace();
-    }
-
-    private Optional<StepRecord> step(TaskKey key) {
-        JobRecord job = jobs.get(key.job());
-        return job == null || !job.hasStep(key)
-                ? Optional.empty()
-                : Optional.of(job.step(key.occurrence(), key.step()));
-    }
-
     // --- ends
 
     private void end(EndsProto ends) {
-        WorkerRecord worker = workers.get(ends.getWorker());
-        if (worker == null || worker.info.getBornMs() != ends.getBornMs()) {
+        Optional<WorkerRecord> known = runs.worker(ends.getWorker(), ends.getBornMs());
+        if (known.isEmpty()) {
             return;
         }
+        WorkerRecord worker = known.get();
         worker.cursor = Math.max(worker.cursor, ends.getCursor());
         for (EndProto end : ends.getEndsList()) {
             RunRecord run = worker.runs().get(new RunKey(TaskKey.of(end.getTask()), end.getRun()));
@@ -352,14 +302,14 @@
 
     private void endRun(RunRecord run, RunEndProto how, String checkpoint) {
         boolean wasUnwanted = run.isUnwanted();
-        release(run);
+        runs.release(run);
         listener.ended(run, how);
         if (wasUnwanted) {
             return;
         }
         StepRecord step = run.step();
         TaskRecord task = step.tasks().get(run.key().task().index());
-        task.state = TaskStateGraphProto.GRAPH_TASK_WAITING;
+        step.move(task, TaskStateGraphProto.GRAPH_TASK_WAITING);
         keepCheckpoint(step, task, checkpoint);
         if (how == RunEndProto.RUN_DONE && !step.spec().getLasting()) {
             complete(step, task);
@@ -382,20 +332,15 @@
     private void complete(StepRecord step, TaskRecord task) {
         List<TaskRecord> completed = step.spec().getGang() ? step.tasks() : List.of(task);
         for (TaskRecord each : completed) {
-            step.done += each.isDone() ? 0 : 1;
-            each.state = TaskStateGraphProto.GRAPH_TASK_DONE;
+            step.move(each, TaskStateGraphProto.GRAPH_TASK_DONE);
         }
         if (step.job().allDone()) {
             finish(step.job(), GraphStateProto.GRAPH_COMPLETED);
         } else if (step.spec().getGang()) {
-            membersOf(step).forEach(listener::unwanted);
+            List.copyOf(step.runs()).forEach(listener::unwanted);
         }
     }
 
-    private List<RunRecord> membersOf(StepRecord step) {
-        return runs.values().stream().filter(run -> run.step() == step).toList();
-    }
-
     private void countFailure(StepRecord step, TaskRecord task, int run) {
         if (step.spec().getLasting()) {
             task.failures++;
@@ -425,35 +370,32 @@
     // --- workers
 
     private void worker(WorkerProto said) {
-        WorkerRecord present = workers.get(said.getId());
+        WorkerRecord present = runs.workers().get(said.getId());
         if (present != null && present.info.getBornMs() == said.getBornMs()) {
             present.info = said;
             listener.workerChanged(present);
             return;
         }
-        for (WorkerRecord other : List.copyOf(workers.values())) {
+        for (WorkerRecord other : List.copyOf(runs.workers().values())) {
             boolean isFormerLife = other == present || other.info.getAddress().equals(said.getAddress());
             if (isFormerLife) {
                 remove(other);
             }
         }
         WorkerRecord fresh = new WorkerRecord(said);
-        workers.put(said.getId(), fresh);
+        runs.add(fresh);
         listener.workerChanged(fresh);
     }
 
     private void workerGone(WorkerGoneProto gone) {
-        WorkerRecord worker = workers.get(gone.getWorker());
-        if (worker != null && worker.info.getBornMs() == gone.getBornMs()) {
-            remove(worker);
-        }
+        runs.worker(gone.getWorker(), gone.getBornMs()).ifPresent(this::remove);
     }
 
     private void remove(WorkerRecord worker) {
         for (RunRecord run : List.copyOf(worker.runs().values())) {
             endRun(run, RunEndProto.RUN_LOST, "");
         }
-        workers.remove(worker.info.getId(), worker);
+        runs.remove(worker);
         listener.workerGone(worker);
     }
 
@@ -470,25 +412,11 @@
             snapshot.setDocument(document.proto());
         }
         snapshot.addAllKnownQueues(knownQueues.values());
-        ended.forEach(job -> snapshot.addJobs(job.toProto()));
-        active.values().forEach(job -> snapshot.addJobs(job.toProto()));
-        workers.values()
-                .forEach(worker -> snapshot.addWorkers(
-                        WorkerCursorProto.newBuilder().setWorker(worker.info).setCursor(worker.cursor)));
-        runs.values().forEach(run -> snapshot.addRuns(toProto(run)));
+        jobs.writeTo(snapshot);
+        runs.writeTo(snapshot);
         return snapshot.build().toByteString();
     }
 
-    private static StartProto toProto(RunRecord run) {
-        return StartProto.newBuilder()
-                .setTask(run.key().task().toProto())
-                .setRun(run.key().run())
-                .setWorker(run.worker())
-                .setBornMs(run.bornMs())
-                .setCheckpoint(run.checkpoint())
-                .build();
-    }
-
     /**
      * Replaces the whole state.
      *
@@ -496,47 +424,15 @@
      */
     public void restore(ByteString data) {
         GraphSnapshotProto snapshot = parse(data);
-        jobs.clear();
-        active.clear();
-        ended.clear();
-        runs.clear();
-        workers.clear();
         knownQueues.clear();
-        usedByWorkspace.clear();
         clockMs = snapshot.getClockMs();
         document = null;
         snapshot.getKnownQueuesList().forEach(queue -> knownQueues.put(queue.getName(), queue));
         if (snapshot.hasDocument()) {
             install(FleetDocument.of(snapshot.getDocument()));
         }
-        snapshot.getJobsList().forEach(this::restoreJob);
-        for (WorkerCursorProto worker : snapshot.getWorkersList()) {
-            WorkerRecord restored = new WorkerRecord(worker.getWorker());
-            restored.cursor = worker.getCursor();
-            workers.put(worker.getWorker().getId(), restored);
-        }
-        snapshot.getRunsList().forEach(this::restoreRun);
-    }
-
-    private void restoreJob(GraphJobProto proto) {
-        JobRecord job = JobRecord.restore(proto);
-        jobs.put(job.id(), job);
-        if (job.isOver()) {
-            ended.add(job);
-        } else {
-            active.put(job.id(), job);
-        }
-    }
-
-    private void restoreRun(StartProto start) {
-        TaskKey key = TaskKey.of(start.getTask());
-        step(key)
-                .ifPresent(step -> take(new RunRecord(
-                        new RunKey(key, start.getRun()),
-                        step,
-                        start.getWorker(),
-                        start.getBornMs(),
-                        start.getCheckpoint())));
+        jobs.restore(snapshot);
+        runs.restore(snapshot, jobs);
     }
 
     private static GraphSnapshotProto parse(ByteString data) {
--- a/graph/src/main/java/org/lovagegrade/graph/machine/JobRecord.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/JobRecord.java
@@ -14,6 +14,7 @@
     private final List<List<StepRecord>> occurrences = new ArrayList<>();
     GraphStateProto state = GraphStateProto.GRAPH_QUEUED;
     long endedAtMs;
+    int waiting;
 
     JobRecord(GraphProto graph, long acceptedAtMs) {
         this.graph = graph;
@@ -93,6 +94,15 @@
         return occurrences.get(occurrence).get(step);
     }
 
+    /**
+     * How many tasks of all occurrences wait for a run, due or not.
+     *
+     * @return the number
+     */
+    public int waiting() {
+        return waiting;
+    }
+
     /**
      * When an occurrence is due.
      *
--- a/graph/src/main/java/org/lovagegrade/graph/machine/RunRecord.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/RunRecord.java
@@ -1,5 +1,7 @@
 package org.lovagegrade.graph.machine;
 
+import org.lovagegrade.wire.proto.StartProto;
+
 /**
  * A run that was started and whose end is not yet committed; it takes room until then.
  *
@@ -10,6 +12,25 @@
  * @param checkpoint from where it goes on, or an empty text
  */
 public record RunRecord(RunKey key, StepRecord step, String worker, long bornMs, String checkpoint) {
+    static RunRecord of(StartProto start, StepRecord step) {
+        return new RunRecord(
+                new RunKey(TaskKey.of(start.getTask()), start.getRun()),
+                step,
+                start.getWorker(),
+                start.getBornMs(),
+                start.getCheckpoint());
+    }
+
+    StartProto toProto() {
+        return StartProto.newBuilder()
+                .setTask(key.task().toProto())
+                .setRun(key.run())
+                .setWorker(worker)
+                .setBornMs(bornMs)
+                .setCheckpoint(checkpoint)
+                .build();
+    }
+
     /**
      * Whether the run serves no purpose any more.
      *
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/RunRegister.java
@@ -0,0 +1,85 @@
+package org.lovagegrade.graph.machine;
+
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.lovagegrade.wire.proto.GraphSnapshotProto;
+import org.lovagegrade.wire.proto.StartProto;
+import org.lovagegrade.wire.proto.WorkerCursorProto;
+
+/** The workers, and the runs that take room on them and of their workspaces. */
+final class RunRegister {
+    private final Map<RunKey, RunRecord> runs = new LinkedHashMap<>();
+    private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
+    private final Map<String, Room> usedByWorkspace = new TreeMap<>();
+
+    Map<RunKey, RunRecord> runs() {
+        return Collections.unmodifiableMap(runs);
+    }
+
+    Map<String, WorkerRecord> workers() {
+        return Collections.unmodifiableMap(workers);
+    }
+
+    /** Finds a worker, if it is known in the life that is meant. */
+    Optional<WorkerRecord> worker(String id, long bornMs) {
+        return Optional.ofNullable(workers.get(id)).filter(worker -> worker.info.getBornMs() == bornMs);
+    }
+
+    Room usedBy(String workspace) {
+        return usedByWorkspace.getOrDefault(workspace, Room.NONE);
+    }
+
+    void add(WorkerRecord worker) {
+        workers.put(worker.info.getId(), worker);
+    }
+
+    void remove(WorkerRecord worker) {
+        workers.remove(worker.info.getId(), worker);
+    }
+
+    void take(RunRecord run) {
+        runs.put(run.key(), run);
+        run.step().runs.put(run.key(), run);
+        workers.get(run.worker()).add(run);
+        usedByWorkspace.merge(workspaceOf(run), run.step().perTask(), Room::plus);
+    }
+
+    void release(RunRecord run) {
+        runs.remove(run.key());
+        run.step().runs.remove(run.key());
+        WorkerRecord worker = workers.get(run.worker());
+        if (worker != null) {
+            worker.remove(run);
+        }
+        usedByWorkspace.computeIfPresent(
+                workspaceOf(run), (_name, used) -> used.minus(run.step().perTask()));
+    }
+
+    private static String workspaceOf(RunRecord run) {
+        return run.step().job().graph().getWorkspace();
+    }
+
+    void writeTo(GraphSnapshotProto.Builder snapshot) {
+        workers.values()
+                .forEach(worker -> snapshot.addWorkers(
+                        WorkerCursorProto.newBuilder().setWorker(worker.info).setCursor(worker.cursor)));
+        runs.values().forEach(run -> snapshot.addRuns(run.toProto()));
+    }
+
+    void restore(GraphSnapshotProto snapshot, JobRegister jobs) {
+        runs.clear();
+        workers.clear();
+        usedByWorkspace.clear();
+        for (WorkerCursorProto worker : snapshot.getWorkersList()) {
+            WorkerRecord restored = new WorkerRecord(worker.getWorker());
+            restored.cursor = worker.getCursor();
+            add(restored);
+        }
+        for (StartProto start : snapshot.getRunsList()) {
+            jobs.stepOf(TaskKey.of(start.getTask())).ifPresent(step -> take(RunRecord.of(start, step)));
+        }
+    }
+}
--- a/graph/src/main/java/org/lovagegrade/graph/machine/StepRecord.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/StepRecord.java
@@ -1,9 +1,14 @@
 package org.lovagegrade.graph.machine;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.lovagegrade.wire.proto.GraphStepStateProto;
 import org.lovagegrade.wire.proto.StepProto;
+import org.lovagegrade.wire.proto.TaskStateGraphProto;
 
 /** One step of one occurrence of a job. */
 public final class StepRecord {
@@ -14,9 +19,11 @@
     private final Room perTask;
     private final List<TaskRecord> tasks = new ArrayList<>();
     private final String name;
+    final Map<RunKey, RunRecord> runs = new LinkedHashMap<>();
     int gangFailures;
     int gangFailedRun;
-    int done;
+    private int done;
+    private int waiting;
 
     StepRecord(JobRecord job, int occurrence, int number, StepProto spec) {
         this.job = job;
@@ -28,6 +35,26 @@
         for (int index = 0; index < spec.getCount(); index++) {
             tasks.add(new TaskRecord());
         }
+        this.waiting = tasks.size();
+        job.waiting += waiting;
+    }
+
+    /** Changes the state of a task, and counts it. */
+    void move(TaskRecord task, TaskStateGraphProto state) {
+        int moreWait = (state == TaskStateGraphProto.GRAPH_TASK_WAITING ? 1 : 0) - (task.waits() ? 1 : 0);
+        waiting += moreWait;
+        job.waiting += moreWait;
+        done += (state == TaskStateGraphProto.GRAPH_TASK_DONE ? 1 : 0) - (task.isDone() ? 1 : 0);
+        task.state = state;
+    }
+
+    /**
+     * The runs of its tasks whose end is not committed.
+     *
+     * @return the runs, in the order of their starts
+     */
+    public Collection<RunRecord> runs() {
+        return Collections.unmodifiableCollection(runs.values());
     }
 
     /**
@@ -132,10 +159,6 @@
      * @return the number
      */
     public int waiting() {
-        int waiting = 0;
-        for (TaskRecord task : tasks) {
-            waiting += task.waits() ? 1 : 0;
-        }
         return waiting;
     }
 
@@ -162,10 +185,10 @@
     void restore(GraphStepStateProto proto) {
         gangFailures = proto.getGangFailures();
         gangFailedRun = proto.getGangFailedRun();
-        done = 0;
         for (int index = 0; index < tasks.size(); index++) {
-            tasks.get(index).restore(proto.getTasks(index));
-            done += tasks.get(index).isDone() ? 1 : 0;
+            TaskRecord task = tasks.get(index);
+            move(task, proto.getTasks(index).getState());
+            task.restore(proto.getTasks(index));
         }
     }
 }
--- a/graph/src/test/java/org/lovagegrade/graph/machine/GraphMachineTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/machine/GraphMachineTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -307,6 +309,50 @@
             assertThat(restored.runs().keySet()).isEqualTo(machine.runs().keySet());
             assertThat(restored.usedBy("team")).isEqualTo(machine.usedBy("team"));
             assertThat(restored.workers().get("w1").cursor()).isEqualTo(3);
+            JobRecord job = restored.job("a").orElseThrow();
+            assertThat(job.waiting()).isEqualTo(1);
+            assertThat(job.step(0, 0).waiting()).isEqualTo(0);
+            assertThat(job.step(0, 0).runs()).hasSize(1);
+        }
+    }
+
+    @Nested
+    final class CountsOfAJob {
+        @Test
+        void shouldFollowItsTasksFromWaitingToDone() {
+            submit("a", step(3, false));
+            JobRecord job = machine.job("a").orElseThrow();
+            StepRecord step = job.step(0, 0);
+            assertThat(job.waiting()).isEqualTo(3);
+
+            start(startOf("a", 0, 0, 1, "w1"), startOf("a", 0, 1, 1, "w2"));
+            assertThat(job.waiting()).isEqualTo(1);
+            assertThat(step.runs()).hasSize(2);
+
+            end("w1", 1, "a", 0, 0, 1, RunEndProto.RUN_DONE);
+            end("w2", 1, "a", 0, 1, 1, RunEndProto.RUN_LOST);
+            assertThat(job.waiting()).isEqualTo(2);
+            assertThat(step.waiting()).isEqualTo(2);
+            assertThat(step.runs()).isEmpty();
+            assertThat(step.isDone()).isFalse();
+        }
+
+        @Test
+        void shouldTellTheRunsOfACancelledJobToBeUnwanted() {
+            submit("a", step(2, false));
+            submit("b", step(1, false));
+            start(startOf("a", 0, 0, 1, "w1"), startOf("b", 0, 0, 1, "w2"));
+            List<RunKey> unwanted = new ArrayList<>();
+            machine.listen(new MachineListener() {
+                @Override
+                public void unwanted(RunRecord run) {
+                    unwanted.add(run.key());
+                }
+            });
+
+            apply(GraphCommandProto.newBuilder().setCancel("a"));
+
+            assertThat(unwanted).containsExactly(new RunKey(new TaskKey("a", 0, 0, 0), 1));
         }
     }
 }
