--- a/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/LeaderClient.java
@@ -286,7 +286,11 @@
                 hasAnswered = true;
                 question.result.complete(new LeaderAnswer.Answered(reply, question.perhapsTaken));
             }
-            case GRAPH_NOT_LEADER, GRAPH_BUSY -> {
+            case GRAPH_BUSY -> {
+                question.lastReason = "too many requests wait at the leader";
+                question.giveUp();
+            }
+            case GRAPH_NOT_LEADER -> {
                 question.lastReason = "no leader";
                 moveOn(tried, reply.getLeader());
                 if (question.isPending(attempt)) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -136,6 +136,13 @@
         return true;
     }
 
+    @Override
+    public Optional<EnvelopeProto> busy() {
+        return Optional.of(EnvelopeProto.newBuilder()
+                .setGraphReply(GraphReplyProto.newBuilder().setStatus(GraphStatusProto.GRAPH_BUSY))
+                .build());
+    }
+
     @Override
     public Optional<EnvelopeProto> notLeader(EnvelopeProto.BodyCase _request, String leaderId) {
         return Optional.of(EnvelopeProto.newBuilder()
--- a/graph/src/test/java/org/lovagegrade/graph/client/LeaderClientTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/client/LeaderClientTest.java
@@ -122,6 +122,20 @@
         assertThat(askedSecond.get()).isEqualTo(0);
     }
 
+    @Test
+    void shouldGiveUpAtOnceWhenTooManyRequestsWaitAtTheLeader() {
+        // given
+        first = reply -> reply.accept(envelope(GraphStatusProto.GRAPH_BUSY, ""));
+        second = LeaderClientTest::leads;
+
+        // when
+        LeaderAnswer answer = client.ask(REQUEST, ENOUGH_MS).join();
+
+        // then: it was not taken, and the load is not put elsewhere
+        assertThat(answer).isInstanceOf(LeaderAnswer.NotTaken.class);
+        assertThat(askedSecond.get()).isEqualTo(0);
+    }
+
     @Test
     void shouldAskNobodyElseWhileTheLeaderAnswersInTime() {
         // given
--- a/kernel/src/main/java/org/lovagegrade/kernel/Program.java
+++ b/kernel/src/main/java/org/lovagegrade/kernel/Program.java
@@ -86,21 +86,28 @@
             if (kernel == null) {
                 return;
             }
-            runUntilSignal(kernel);
+            runUntilSignal(name, kernel);
         } catch (ParseException | SettingsException e) {
             System.err.println(name + ": " + e.getMessage());
             System.exit(EXIT_BAD_USAGE);
         }
     }
 
+    /**
+     * Starts a kernel, and stops it on a signal to end.
+     *
+     * @param name the name of the program, for the log
+     * @param kernel the services
+     */
     @SuppressWarnings("ShutdownHook") // the frame of the process is the one place that owns this hook
-    private void runUntilSignal(Kernel kernel) {
+    public static void runUntilSignal(String name, Kernel kernel) {
         CountDownLatch stopped = new CountDownLatch(1);
         kernel.start();
         Log.event("started").with("program", name).info();
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
+                            Log.event("stopping").with("program", name).info();
                             kernel.stop();
                             Log.event("stopped").with("program", name).info();
                             Log.flush();
@@ -114,7 +121,8 @@
         }
     }
 
-    private static void stopOnBrokenInvariant() {
+    /** From now on an error that nothing handles ends the process with {@link #EXIT_BROKEN}. */
+    public static void stopOnBrokenInvariant() {
         Thread.setDefaultUncaughtExceptionHandler((thread, error) -> {
             Log.event("brokenInvariant")
                     .with("thread", thread.getName())
--- a/state/src/main/java/org/lovagegrade/state/replica/Replica.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Replica.java
@@ -108,6 +108,9 @@
     public void handle(EnvelopeProto request, Consumer<EnvelopeProto> reply) {
         if (queue.size() >= MAX_QUEUED) {
             metrics.count(REPLICA_REFUSALS, StateRefusal.QUEUE_FULL);
+            if (!request.hasRaft()) {
+                application.busy().ifPresent(reply);
+            }
             return;
         }
         queue.add(() -> dispatch(request, reply));
--- a/state/src/main/java/org/lovagegrade/state/replica/ReplicatedApplication.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/ReplicatedApplication.java
@@ -66,6 +66,15 @@
      */
     boolean handle(EnvelopeProto request, Consumer<EnvelopeProto> reply, long nowMs);
 
+    /**
+     * The answer to a request that is refused unread, since too many wait; asked for on any thread.
+     *
+     * @return the answer, or empty where a request without an answer is known not to have been taken
+     */
+    default Optional<EnvelopeProto> busy() {
+        return Optional.empty();
+    }
+
     /**
      * The answer to a request that only a leader can take.
      *
