A voter that is gone for good gives its place to a learner

Cause: a voter left the membership only when another identity of its own address came back. A voter that comes back from so long a silence asks to be taken in again, with its identity, since its log is whole. Who asks to join at a replica that follows is passed on to the leader (once); joiners know seeds, not leaders. Tests: RaftFuzzTest#shouldGoOnWhenReplicasAreReplacedAtOtherAddressesOneAfterTheOther (200 seeds, three losses each), MembershipChangeTest.SilentVoters (4).

--- a/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/Raft.java
@@ -139,7 +139,7 @@
             return;
         }
         if (message.hasJoin()) {
-            joiners.put(message.getFrom(), nowMs);
+            receiveJoin(message, nowMs);
             return;
         }
         if (message.hasVoteRequest()) {
@@ -237,6 +237,17 @@
         send(ReplicaId.first(name).toString(), RaftMessageProto.newBuilder().setJoin(JoinProto.getDefaultInstance()));
     }
 
+    /**
+     * Whether this replica should ask to be taken in: it has no vote, or it has been out of touch for so long that it may
+     * have been replaced.
+     *
+     * @param nowMs the present time in milliseconds
+     * @return true if so
+     */
+    public boolean shouldAskToJoin(long nowMs) {
+        return !isMember() || (role != Role.LEADER && nowMs - lastLeaderContactMs > timings.replaceAfterMs());
+    }
+
     /**
      * Takes the messages to send; only after a sync.
      *
@@ -830,16 +841,55 @@
         if (!settled || transferring) {
             return;
         }
+        nextMembership(nowMs).ifPresent(next -> {
+            appendAsLeader(LogEntryProto.newBuilder().setMembership(next));
+            syncPeers(nowMs);
+            replicate(nowMs);
+        });
+    }
+
+    private Optional<MembershipProto> nextMembership(long nowMs) {
         for (String joiner : joiners.keySet()) {
             Optional<MembershipProto> next =
                     MembershipChange.next(membership(), joiner, isCaughtUp(joiner), isAnotherReady(joiner));
             if (next.isPresent()) {
-                appendAsLeader(LogEntryProto.newBuilder().setMembership(next.get()));
-                syncPeers(nowMs);
-                replicate(nowMs);
-                return;
+                return next;
             }
         }
+        return MembershipChange.replacing(membership(), silentVoters(nowMs), readyLearners());
+    }
+
+    /** Only the leader takes replicas in; a joiner knows some replicas, and perhaps not the leader. */
+    private void receiveJoin(RaftMessageProto message, long nowMs) {
+        if (role == Role.LEADER) {
+            joiners.put(message.getFrom(), nowMs);
+            return;
+        }
+        boolean mayRelay = !leader.isEmpty() && !message.getJoin().getRelayed();
+        if (mayRelay) {
+            outbox.add(message.toBuilder()
+                    .setTo(leader)
+                    .setJoin(JoinProto.newBuilder().setRelayed(true))
+                    .build());
+        }
+    }
+
+    /** The voters that have not answered for so long that they may be gone for good. */
+    private List<String> silentVoters(long nowMs) {
+        boolean leadsLongEnough = nowMs - leaderSinceMs > timings.replaceAfterMs();
+        if (!leadsLongEnough) {
+            return List.of();
+        }
+        return membership().getVotersList().stream()
+                .filter(voter -> peers.containsKey(voter))
+                .filter(voter -> nowMs - peers.get(voter).ackedSentAtMs > timings.replaceAfterMs())
+                .toList();
+    }
+
+    private List<String> readyLearners() {
+        return joiners.keySet().stream()
+                .filter(joiner -> membership().getLearnersList().contains(joiner) && isCaughtUp(joiner))
+                .toList();
     }
 
     private boolean isAnotherReady(String joiner) {
--- a/state/src/main/java/org/lovagegrade/state/consensus/RaftTimings.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/RaftTimings.java
@@ -12,6 +12,7 @@
     private static final long DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
     private static final long PERCENT = 100;
     private static final long LEASE_PERCENT = 90;
+    private static final long REPLACE_AFTER_ELECTIONS = 5;
 
     /** Checks the order of the times. */
     public RaftTimings {
@@ -32,6 +33,15 @@
         return new RaftTimings(heartbeatMs, electionTimeoutMs, electionTimeoutMs * LEASE_PERCENT / PERCENT);
     }
 
+    /**
+     * After which silence a voter may be replaced by a replica without a vote.
+     *
+     * @return some election timeouts, in milliseconds: beyond a restart, and before a second loss has to be borne
+     */
+    public long replaceAfterMs() {
+        return electionTimeoutMs * REPLACE_AFTER_ELECTIONS;
+    }
+
     /**
      * The timings for failure domains a few milliseconds apart.
      *
--- a/state/src/main/java/org/lovagegrade/state/replica/Replica.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Replica.java
@@ -210,7 +210,7 @@
     }
 
     private void askToJoin(long nowMs) {
-        if (raft.isMember() || nowMs < nextJoinMs) {
+        if (nowMs < nextJoinMs || !raft.shouldAskToJoin(nowMs)) {
             return;
         }
         nextJoinMs = nowMs + JOIN_INTERVAL_MS;
--- a/state/src/test/java/org/lovagegrade/state/consensus/FuzzedGroup.java
+++ b/state/src/test/java/org/lovagegrade/state/consensus/FuzzedGroup.java
@@ -68,6 +68,7 @@
     private long nextSequence;
     private int nextCommand;
     private int lostDisks;
+    private int spares;
     private double lossRate;
 
     /** A message on its way. */
@@ -142,6 +143,19 @@
         return violations;
     }
 
+    /** A replica with an empty disk at an address that the group has not known. */
+    void addSpare() {
+        Node node = new Node("spare" + ++spares);
+        node.id = new ReplicaId(node.name, "new");
+        nodes.add(node);
+        boot(node);
+    }
+
+    /** A replica's process, address and disk never come back. */
+    void leaveForGood(String name) {
+        nodes.removeIf(node -> node.name.equals(name));
+    }
+
     int committedCommands() {
         return (int) committed.values().stream()
                 .filter(entry -> !entry.getCommand().isEmpty())
@@ -296,12 +310,9 @@
             node.raft.propose(ByteString.copyFromUtf8("c" + nextCommand++));
         }
         node.raft.replicate(nowMs);
-        if (!node.raft.isMember() && random.nextInt(10) == 0) {
-            nodes.forEach(other -> {
-                if (other != node) {
-                    node.raft.askToJoin(other.name);
-                }
-            });
+        if (node.raft.shouldAskToJoin(nowMs) && random.nextInt(10) == 0) {
+            // as a process that knows some seeds, of which perhaps none leads
+            node.raft.askToJoin(nodes.get(random.nextInt(nodes.size())).name);
         }
         if (protections.syncsBeforeSending() || random.nextInt(20) == 0) {
             node.storage.sync();
--- a/state/src/test/java/org/lovagegrade/state/consensus/RaftFuzzTest.java
+++ b/state/src/test/java/org/lovagegrade/state/consensus/RaftFuzzTest.java
@@ -30,6 +30,28 @@
         assertThat(group.committedCommands()).isGreaterThan(0);
     }
 
+    @Property(tries = 200, seed = "20261205")
+    void shouldGoOnWhenReplicasAreReplacedAtOtherAddressesOneAfterTheOther(
+            @ForAll @LongRange(min = 0, max = 1_000_000_000) long seed) {
+        // given
+        FuzzedGroup group = new FuzzedGroup(seed, 3, FuzzedGroup.Protections.all());
+        group.run(STEPS / 5);
+
+        for (int replaced = 0; replaced < 3; replaced++) {
+            // when: one of the first three goes for good, and another comes at a new address
+            group.addSpare();
+            assertWithMessage("seed %s, before loss %s", seed, replaced)
+                    .that(group.settle(STEPS_TO_SETTLE))
+                    .isEmpty();
+            group.leaveForGood("s" + replaced);
+
+            // then
+            assertWithMessage("seed %s, loss %s", seed, replaced)
+                    .that(group.settle(STEPS_TO_SETTLE))
+                    .isEmpty();
+        }
+    }
+
     /** Each protection taken out alone must be noticed by the same checks. */
     @Nested
     final class Checks {
--- a/state/src/test/java/org/lovagegrade/state/consensus/internal/MembershipChangeTest.java
+++ b/state/src/test/java/org/lovagegrade/state/consensus/internal/MembershipChangeTest.java
@@ -16,6 +16,41 @@
                 .build();
     }
 
+    @Nested
+    final class SilentVoters {
+        private final MembershipProto present = membership(List.of("a#1", "b#1", "c#1"), "d#1");
+
+        @Test
+        void shouldBeReplacedByALearnerThatIsReadyAndHasItsVoteFirst() {
+            MembershipProto four = MembershipChange.replacing(present, List.of("c#1"), List.of("d#1"))
+                    .orElseThrow();
+            assertThat(four.getVotersList()).containsExactly("a#1", "b#1", "c#1", "d#1");
+            assertThat(four.getLearnersList()).isEmpty();
+
+            MembershipProto three =
+                    MembershipChange.replacing(four, List.of("c#1"), List.of()).orElseThrow();
+            assertThat(three.getVotersList()).containsExactly("a#1", "b#1", "d#1");
+        }
+
+        @Test
+        void shouldStayWhereNobodyIsReady() {
+            assertThat(MembershipChange.replacing(present, List.of("c#1"), List.of()))
+                    .isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void shouldNeverLeaveAGroupOfTwo() {
+            assertThat(MembershipChange.replacing(membership(List.of("a#1", "b#1")), List.of("b#1"), List.of()))
+                    .isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void shouldBeLeftAloneWhileAllAreHeard() {
+            assertThat(MembershipChange.replacing(present, List.of(), List.of("d#1")))
+                    .isEqualTo(Optional.empty());
+        }
+    }
+
     @Nested
     final class OddNumbersOfVoters {
         private final List<String> three = List.of("a#1", "b#1", "c#1");
