lovagegrade logs check FILE...: broken promises found from logs alone

Nine rules over the merged lines of all processes: one leader a term, starts by leaders only and never early nor after a job's end, one end a job, no accepted job unknown, no desired state or fence that goes back, no broken invariant.

--- a/cli/src/main/java/org/lovagegrade/cli/CliMain.java
+++ b/cli/src/main/java/org/lovagegrade/cli/CliMain.java
@@ -10,6 +10,7 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.lovagegrade.cli.audit.LogsCommand;
 import org.lovagegrade.cli.commands.ConfigCommands;
 import org.lovagegrade.cli.commands.JobCommands;
 import org.lovagegrade.cli.trace.TraceCommand;
@@ -29,6 +30,7 @@
         commands.addAll(ConfigCommands.all());
         commands.addAll(JobCommands.all());
         commands.add(TraceCommand.command());
+        commands.add(LogsCommand.command());
     }
 
     /**
--- a/cli/src/main/java/org/lovagegrade/cli/trace/TraceCommand.java
+++ b/cli/src/main/java/org/lovagegrade/cli/trace/TraceCommand.java
@@ -1,10 +1,5 @@
 package org.lovagegrade.cli.trace;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import org.apache.commons.cli.Options;
 import org.lovagegrade.cli.Command;
@@ -35,10 +30,7 @@
         if (words.size() < 2) {
             throw new UsageException("an id and log files", words.toString());
         }
-        List<LogLine> lines = new ArrayList<>();
-        for (String file : words.subList(1, words.size())) {
-            lines.addAll(read(Path.of(file)));
-        }
+        List<LogLine> lines = LogFiles.read(words.subList(1, words.size()));
         Timeline timeline = Timeline.of(words.get(0), lines);
         for (LogLine line : timeline.lines()) {
             session.say(shown(line));
@@ -48,22 +40,13 @@
         return timeline.lines().isEmpty() ? ExitCode.REFUSED : ExitCode.DONE;
     }
 
-    private static List<LogLine> read(Path file) throws UsageException {
-        List<LogLine> lines = new ArrayList<>();
-        try {
-            String content = new String(Files.readAllBytes(file), StandardCharsets.UTF_8);
-            long position = 0;
-            for (String text : content.split("\n", -1)) {
-                position++;
-                LogLine.parse(file.getFileName().toString(), position, text).ifPresent(lines::add);
-            }
-        } catch (IOException e) {
-            throw new UsageException("a readable log file", file + ": " + e);
-        }
-        return lines;
-    }
-
-    private static String shown(LogLine line) {
+    /**
+     * Shows a line to people.
+     *
+     * @param line the line
+     * @return its time, process, event and other fields
+     */
+    public static String shown(LogLine line) {
         StringBuilder text = new StringBuilder();
         text.append(line.atMs()).append(' ').append(line.source()).append(' ').append(line.event());
         line.fields().fields().forEachRemaining(field -> {
