--- /dev/null
+++ b/cli/src/main/java/org/lovagegrade/cli/audit/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The rules of the audit, one by one. */
+package org.lovagegrade.cli.audit.internal;
