--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.lovagegrade.graph.machine.GraphMachine;
 import org.lovagegrade.graph.machine.MachineListener;
+import org.lovagegrade.graph.planning.PlanOrder;
 import org.lovagegrade.graph.worker.WorkerLink;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.metrics.Metrics;
@@ -31,6 +32,7 @@
     private final Clock clock;
     private final Clock wallClock;
     private final Metrics metrics;
+    private final PlanOrder order;
     private Leadership leadership;
     private GraphLeader leader;
     private CallerDesk desk;
@@ -44,15 +46,23 @@
      * @param clock a monotonic clock
      * @param wallClock the time of day
      * @param metrics counts refusals
+     * @param order in which order steps get their workers
      */
     public GraphApplication(
-            WorkerLink link, LeaderTimings timings, long keepEndedMs, Clock clock, Clock wallClock, Metrics metrics) {
+            WorkerLink link,
+            LeaderTimings timings,
+            long keepEndedMs,
+            Clock clock,
+            Clock wallClock,
+            Metrics metrics,
+            PlanOrder order) {
         this.machine = GraphMachine.keepingEndedFor(keepEndedMs);
         this.link = link;
         this.timings = timings;
         this.clock = clock;
         this.wallClock = wallClock;
         this.metrics = metrics;
+        this.order = order;
     }
 
     @Override
@@ -83,7 +93,7 @@
                         link, fresh::execute, this::proposeOwn, timings, clock, metrics, DriverRules.safe()),
                 fresh.term(),
                 nowMs);
-        leader = new GraphLeader(machine, driver, this::proposeOwn, clock, wallClock);
+        leader = new GraphLeader(machine, driver, this::proposeOwn, clock, wallClock, order);
         desk = new CallerDesk(machine, this::proposeFor, metrics);
         machine.listen(leader);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -1,7 +1,6 @@
 package org.lovagegrade.graph.leader;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +21,7 @@
 import org.lovagegrade.graph.planning.AdviceWish;
 import org.lovagegrade.graph.planning.Placement;
 import org.lovagegrade.graph.planning.Plan;
+import org.lovagegrade.graph.planning.PlanOrder;
 import org.lovagegrade.graph.planning.Planner;
 import org.lovagegrade.graph.planning.QuotaBook;
 import org.lovagegrade.graph.planning.StepDemand;
@@ -55,6 +55,7 @@
     private final Proposals proposals;
     private final Clock clock;
     private final Clock wallClock;
+    private final PlanOrder order;
     private final AdviceBoard advice = new AdviceBoard();
     private final WorkerHealth health = new WorkerHealth();
     private final Map<RunKey, Placement> planned = new HashMap<>();
@@ -63,12 +64,19 @@
     private long nextStallCheckMs;
     private long idlePlanMs;
 
-    GraphLeader(GraphMachine machine, WorkerDriver driver, Proposals proposals, Clock clock, Clock wallClock) {
+    GraphLeader(
+            GraphMachine machine,
+            WorkerDriver driver,
+            Proposals proposals,
+            Clock clock,
+            Clock wallClock,
+            PlanOrder order) {
         this.machine = machine;
         this.driver = driver;
         this.proposals = proposals;
         this.clock = clock;
         this.wallClock = wallClock;
+        this.order = order;
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.workerChanged(worker, nowMs));
     }
@@ -326,13 +334,20 @@
                 }
             }
         }
-        demands.sort(
-                Comparator.<StepDemand>comparingInt(demand -> demand.queue().getPriority())
-                        .thenComparing(StepDemand::urgency)
-                        .thenComparingLong(StepDemand::sinceMs));
+        demands.sort(order.comparing(this::useOfShare));
         return demands;
     }
 
+    /** The cores that a workspace has running per unit of its weight. */
+    private double useOfShare(String workspace) {
+        double weight = machine.document()
+                .flatMap(document -> document.workspace(workspace))
+                .map(GraphWorkspaceProto::getWeight)
+                .orElse(0.0);
+        double used = machine.usedBy(workspace).milliCores();
+        return weight > 0 ? used / weight : Double.MAX_VALUE;
+    }
+
     private Optional<StepDemand> demandOf(StepRecord step, QueueProto queue, Urgency urgency, long dueAtMs) {
         if (step.isDone() || step.waiting() == 0 || !step.isReady()) {
             return Optional.empty();
--- a/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
@@ -30,4 +30,8 @@
     int priority() {
         return queue.getPriority();
     }
+
+    String workspace() {
+        return step.job().graph().getWorkspace();
+    }
 }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/GraphApplicationTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/GraphApplicationTest.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lovagegrade.graph.planning.PlanOrder;
 import org.lovagegrade.kernel.metrics.Metrics;
 import org.lovagegrade.state.replica.Leadership;
 import org.lovagegrade.wire.proto.EnvelopeProto;
@@ -19,7 +20,13 @@
 final class GraphApplicationTest {
     private final SimulatedTime time = new SimulatedTime();
     private final GraphApplication application = new GraphApplication(
-            new SimulatedCell(1, 0, 0), new LeaderTimings(4_000, 200), 1_000, time, time, Metrics.create());
+            new SimulatedCell(1, 0, 0),
+            new LeaderTimings(4_000, 200),
+            1_000,
+            time,
+            time,
+            Metrics.create(),
+            PlanOrder.urgency());
     private final FakeLeadership leadership = new FakeLeadership();
 
     /** Commits what is proposed when the test says so. */
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -16,6 +16,7 @@
 import org.lovagegrade.graph.machine.Room;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.TaskKey;
+import org.lovagegrade.graph.planning.PlanOrder;
 import org.lovagegrade.graph.worker.EndView;
 import org.lovagegrade.graph.worker.OrderOutcome;
 import org.lovagegrade.graph.worker.OrderRefusal;
@@ -123,7 +124,7 @@
                         rules),
                 mine,
                 time.nowMs());
-        leader = new GraphLeader(machine, driver, proposals, time, time);
+        leader = new GraphLeader(machine, driver, proposals, time, time, PlanOrder.urgency());
         machine.listen(leader);
     }
 
--- /dev/null
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlanOrderTest.java
@@ -0,0 +1,84 @@
+package org.lovagegrade.graph.planning;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lovagegrade.graph.machine.GraphMachine;
+import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.GraphCommandProto;
+import org.lovagegrade.wire.proto.GraphProto;
+import org.lovagegrade.wire.proto.QueueProto;
+import org.lovagegrade.wire.proto.StepProto;
+
+final class PlanOrderTest {
+    private final GraphMachine machine = GraphMachine.keepingEndedFor(1_000);
+    private final List<StepDemand> demands = new ArrayList<>();
+
+    @BeforeEach
+    void configure() {
+        machine.apply(GraphCommandProto.newBuilder()
+                .setConfigure(FleetDocumentProto.newBuilder().setVersion(1).setSource(ByteString.copyFromUtf8("x")))
+                .build());
+        demand("early-late", 1, Urgency.LATE, 100, "busy");
+        demand("middle", 1, Urgency.IN_TIME, 200, "idle");
+        demand("last-urgent", 0, Urgency.IN_TIME, 300, "busy");
+    }
+
+    private void demand(String job, int priority, Urgency urgency, long sinceMs, String workspace) {
+        machine.apply(GraphCommandProto.newBuilder()
+                .setSubmit(GraphProto.newBuilder()
+                        .setId(job)
+                        .setWorkspace(workspace)
+                        .addSteps(StepProto.newBuilder().setCount(1)))
+                .build());
+        demands.add(new StepDemand(
+                machine.job(job).orElseThrow().step(0, 0),
+                QueueProto.newBuilder().setPriority(priority).build(),
+                List.of(0),
+                urgency,
+                sinceMs,
+                _index -> Set.of()));
+    }
+
+    private List<String> ordered(String name) {
+        Map<String, Double> uses = Map.of("busy", 2.0, "idle", 0.5);
+        return demands.stream()
+                .sorted(PlanOrder.named(name).comparing(uses::get))
+                .map(demand -> demand.step().job().id())
+                .toList();
+    }
+
+    @Test
+    void shouldPutWhatCanStillBeInTimeBeforeWhatIsLateOfTheSamePriority() {
+        assertThat(ordered("urgency"))
+                .containsExactly("last-urgent", "middle", "early-late")
+                .inOrder();
+    }
+
+    @Test
+    void shouldTakeTheFirstToComeWithArrival() {
+        assertThat(ordered("arrival"))
+                .containsExactly("early-late", "middle", "last-urgent")
+                .inOrder();
+    }
+
+    @Test
+    void shouldTakeTheWorkspaceFurthestBelowItsShareWithFairShare() {
+        assertThat(ordered("fair-share"))
+                .containsExactly("last-urgent", "middle", "early-late")
+                .inOrder();
+    }
+
+    @Test
+    void shouldRefuseAnUnknownName() {
+        IllegalArgumentException error = assertThrows(IllegalArgumentException.class, () -> PlanOrder.named("first"));
+        assertThat(error).hasMessageThat().contains("[arrival, fair-share, urgency]");
+    }
+}
