--- a/cli/src/main/java/org/lovagegrade/cli/audit/LogAudit.java
+++ b/cli/src/main/java/org/lovagegrade/cli/audit/LogAudit.java
@@ -1,17 +1,14 @@
 package org.lovagegrade.cli.audit;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import org.lovagegrade.cli.audit.internal.AuditRule;
 import org.lovagegrade.cli.trace.LogLine;
+import org.lovagegrade.cli.trace.LogOrder;
 
 /**
- * Goes through the lines of any processes and tells which promises they show to be broken. Lines of one process keep
- * their order even if its time of day jumps; between processes the time of day decides, so rules that compare processes
- * leave a second for their clocks.
+ * Goes through the lines of any processes in their {@link LogOrder} and tells which promises they show to be broken. Rules
+ * that compare processes leave a second for their clocks.
  *
  * <p>Example: {@code LogAudit.of(lines).findings()}
  */
@@ -31,20 +28,9 @@
      * @return the result
      */
     public static LogAudit of(List<LogLine> lines) {
-        Map<String, Long> latestMs = new TreeMap<>();
-        List<Ordered> ordered = new ArrayList<>();
-        for (LogLine line : lines) {
-            long atMs = Math.max(line.atMs(), latestMs.getOrDefault(line.source(), Long.MIN_VALUE));
-            latestMs.put(line.source(), atMs);
-            ordered.add(new Ordered(atMs, line));
-        }
-        ordered.sort(Comparator.comparingLong(Ordered::atMs));
-        return new LogAudit(ordered.stream().map(Ordered::line).toList());
+        return new LogAudit(LogOrder.sorted(lines));
     }
 
-    /** A line and the time that puts it in order. */
-    private record Ordered(long atMs, LogLine line) {}
-
     /**
      * The broken promises.
      *
--- a/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
+++ b/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
@@ -1,14 +1,9 @@
 package org.lovagegrade.cli.trace;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 /**
- * What happened to one id, in order. Lines of one process keep their order even if its time of day jumps; between
- * processes the time of day decides.
+ * What happened to one id, in {@link LogOrder}.
  *
  * <p>Example: {@code Timeline.of("5c0e7a21d94b36f8", lines).cause()}
  */
@@ -29,22 +24,11 @@
      * @return the timeline, empty if nothing is about the id
      */
     public static Timeline of(String id, List<LogLine> all) {
-        Map<String, Long> latestMs = new TreeMap<>();
-        List<Ordered> found = new ArrayList<>();
-        for (LogLine line : all) {
-            if (line.isAbout(id)) {
-                long atMs = Math.max(line.atMs(), latestMs.getOrDefault(line.source(), Long.MIN_VALUE));
-                latestMs.put(line.source(), atMs);
-                found.add(new Ordered(atMs, line));
-            }
-        }
-        found.sort(Comparator.comparingLong(Ordered::atMs));
-        return new Timeline(id, found.stream().map(Ordered::line).toList());
+        List<LogLine> found =
+                LogOrder.sorted(all).stream().filter(line -> line.isAbout(id)).toList();
+        return new Timeline(id, found);
     }
 
-    /** A line and the time that puts it in order. */
-    private record Ordered(long atMs, LogLine line) {}
-
     /**
      * The lines in order.
      *
