--- a/state/src/main/java/org/lovagegrade/state/consensus/RaftTimings.java
+++ b/state/src/main/java/org/lovagegrade/state/consensus/RaftTimings.java
@@ -12,7 +12,7 @@
     private static final long DEFAULT_ELECTION_TIMEOUT_MS = 1_000;
     private static final long PERCENT = 100;
     private static final long LEASE_PERCENT = 90;
-    private static final long REPLACE_AFTER_ELECTIONS = 5;
+    private static final long REPLACE_AFTER_ELECTIONS = 7;
 
     /** Checks the order of the times. */
     public RaftTimings {
