lovagegrade trace shows the loss of a worker that ran something of the job

The timeline now follows which runs are open, and takes in workerLapsed and workerGone of their workers. Test: TimelineTest.LostWorkers (2).

--- a/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
+++ b/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
@@ -1,18 +1,27 @@
 package org.lovagegrade.cli.trace;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 
 /**
- * What happened to one id, in {@link LogOrder}.
+ * What happened to one id, in {@link LogOrder}, and to the workers that ran something of it at the time.
  *
  * <p>Example: {@code Timeline.of("5c0e7a21d94b36f8", lines).cause()}
  */
 public final class Timeline {
+    /** What ends all runs on a worker, without a line for each. */
+    private static final Set<String> LOSSES = Set.of("workerLapsed", "workerGone");
+
     private final String id;
     private final List<LogLine> lines;
+    private final long lossesOfWorkers;
 
-    private Timeline(String id, List<LogLine> lines) {
+    private Timeline(String id, List<LogLine> lines, long lossesOfWorkers) {
         this.id = id;
+        this.lossesOfWorkers = lossesOfWorkers;
         this.lines = List.copyOf(lines);
     }
 
@@ -24,9 +33,29 @@
      * @return the timeline, empty if nothing is about the id
      */
     public static Timeline of(String id, List<LogLine> all) {
-        List<LogLine> found =
-                LogOrder.sorted(all).stream().filter(line -> line.isAbout(id)).toList();
-        return new Timeline(id, found);
+        List<LogLine> found = new ArrayList<>();
+        Map<String, String> workerOfOpenRun = new TreeMap<>();
+        long losses = 0;
+        for (LogLine line : LogOrder.sorted(all)) {
+            if (line.isAbout(id)) {
+                found.add(line);
+                follow(line, workerOfOpenRun);
+            } else if (LOSSES.contains(line.event())
+                    && workerOfOpenRun.values().removeIf(line.text("worker")::equals)) {
+                found.add(line);
+                losses++;
+            }
+        }
+        return new Timeline(id, found, losses);
+    }
+
+    /** Keeps the runs that have begun and not ended, with their workers. */
+    private static void follow(LogLine line, Map<String, String> workerOfOpenRun) {
+        switch (line.event()) {
+            case "startDecided" -> workerOfOpenRun.put(line.text("run"), line.text("worker"));
+            case "runEnded", "runGivenUp" -> workerOfOpenRun.remove(line.text("run"));
+            default -> {}
+        }
     }
 
     /**
@@ -74,7 +103,8 @@
         long lost = count("runGivenUp", "how", "RUN_LOST") + count("runEnded", "how", "RUN_LAPSED");
         long refused = count("startRefused", "", "");
         return "over as " + line.text("state") + " after " + line.text("tookMs") + " ms; " + failed + " runs failed, "
-                + lost + " were lost with their worker, " + refused + " starts were refused";
+                + lost + " were lost, " + lossesOfWorkers + " workers were lost with runs of it, " + refused
+                + " starts were refused";
     }
 
     private long count(String event, String field, String value) {
--- a/cli/src/test/java/org/lovagegrade/cli/trace/TimelineTest.java
+++ b/cli/src/test/java/org/lovagegrade/cli/trace/TimelineTest.java
@@ -53,6 +53,46 @@
         }
     }
 
+    @Nested
+    final class LostWorkers {
+        private void starts(long atMs, String worker) {
+            line("{\"atMs\":" + atMs + ",\"event\":\"startDecided\",\"run\":\"" + JOB + ".0.0.0#1\",\"worker\":\""
+                    + worker + "\"}");
+        }
+
+        private void loses(long atMs, String event, String worker) {
+            line("{\"atMs\":" + atMs + ",\"event\":\"" + event + "\",\"worker\":\"" + worker + "\"}");
+        }
+
+        @Test
+        void shouldBeShownWhileTheyRanSomethingOfTheJob() {
+            // given: a worker that is lost during a run, and another one
+            starts(1, "w1");
+            loses(2, "workerLapsed", "w2");
+            loses(3, "workerLapsed", "w1");
+            loses(4, "workerGone", "w1");
+            line("{\"atMs\":5,\"event\":\"jobOver\",\"job\":\"" + JOB + "\",\"state\":\"GRAPH_COMPLETED\"}");
+
+            // when
+            Timeline timeline = Timeline.of(JOB, lines);
+
+            // then
+            assertThat(timeline.lines().stream().map(LogLine::event).toList())
+                    .containsExactly("startDecided", "workerLapsed", "jobOver")
+                    .inOrder();
+            assertThat(timeline.cause()).contains("1 workers were lost with runs of it");
+        }
+
+        @Test
+        void shouldNotBeShownAfterTheRunHasEnded() {
+            starts(1, "w1");
+            line("{\"atMs\":2,\"event\":\"runEnded\",\"run\":\"" + JOB + ".0.0.0#1\",\"worker\":\"w1\"}");
+            loses(3, "workerGone", "w1");
+
+            assertThat(Timeline.of(JOB, lines).lines()).hasSize(2);
+        }
+    }
+
     @Nested
     final class Cause {
         @Test
