Log and count each run that is lost with its worker

Now each lost run says why it was lost, for how long its worker is known to have gone on with it, and how many runs were there; lovagegrade_lost_runs counts them by cause. No decision changes.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -198,7 +198,7 @@
 
     @Override
     public void runEnded(RunRecord run, RunEndProto how) {
-        driver.runEnded(run);
+        driver.runEnded(run, how);
         dirty = true;
         if (how == RunEndProto.RUN_DONE) {
             health.runCompleted(run.worker());
--- a/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
@@ -48,6 +48,7 @@
         if (!view.checkpoint().isEmpty()) {
             tracker.checkpoint = view.checkpoint();
         }
+        tracker.recordExistence(nowMs);
         tracker.recordProgress(view.percent(), nowMs);
         boolean isUnconfirmed =
                 tracker.phase == RunTracker.Phase.STARTING || tracker.phase == RunTracker.Phase.VERIFYING;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -95,6 +95,7 @@
         if (outcome instanceof OrderOutcome.Done done) {
             session.clock.update(done.clockMs(), nowMs);
             session.recordAnswer(nowMs);
+            tracker.recordExistence(nowMs);
             tracker.phase = RunTracker.Phase.CONFIRMED;
             tracker.inDoubt = false;
             tracker.listingValidFromMs = nowMs;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -39,6 +39,11 @@
     /** For how long the progress had not changed at the latest listing, in milliseconds. */
     long noProgressMs;
 
+    private static final long NEVER_SEEN = -1;
+
+    /** When the worker first confirmed that the run exists there. */
+    private long existsSinceMs = NEVER_SEEN;
+
     private int percent = -1;
     private long percentSinceMs;
 
@@ -49,6 +54,18 @@
         this.percentSinceMs = nowMs;
     }
 
+    /** Records that the worker has confirmed the run. */
+    void recordExistence(long nowMs) {
+        if (existsSinceMs == NEVER_SEEN) {
+            existsSinceMs = nowMs;
+        }
+    }
+
+    /** For how long the worker is known to have gone on with this run, in milliseconds, if it last answered then. */
+    long survivedMs(long lastAnswerMs) {
+        return existsSinceMs == NEVER_SEEN ? 0 : Math.max(0, lastAnswerMs - existsSinceMs);
+    }
+
     /** Records the progress that a listing shows. */
     void recordProgress(int listedPercent, long nowMs) {
         if (listedPercent != percent) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -21,6 +21,7 @@
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.wire.proto.RunEndProto;
 
 /**
  * Drives the workers while this replica leads: sends committed starts and stops, renews leases, and proposes the ends
@@ -32,6 +33,7 @@
  */
 final class WorkerDriver {
     static final String ORDER_REFUSALS = "lovagegrade_order_refusals";
+    private static final String LOST_RUNS = "lovagegrade_lost_runs";
     /** How long a worker may hold a listing back while no run ends; each listing costs one message. */
     private static final long LISTING_WAIT_MS = 1_500;
     /** The delay before an unanswered or refused renewal is sent again. */
@@ -65,7 +67,10 @@
         this.replicaThread = dependencies.replicaThread();
         this.timings = dependencies.timings();
         this.clock = dependencies.clock();
-        this.metrics = dependencies.metrics().declare(ORDER_REFUSALS, OrderRefusal.class);
+        this.metrics = dependencies
+                .metrics()
+                .declare(ORDER_REFUSALS, OrderRefusal.class)
+                .declare(LOST_RUNS, LossCause.class);
         this.safeguards = dependencies.safeguards();
         this.term = new DriverTerm(term, nowMs);
         this.outcomeProposer = new OutcomeProposer(dependencies.proposer());
@@ -189,14 +194,38 @@
         orderSender.sendIfDue(session, tracker, nowMs);
     }
 
-    void runEnded(RunRecord run) {
+    void runEnded(RunRecord run, RunEndProto how) {
         WorkerSession session = sessions.get(run.worker());
         if (session == null) {
             return;
         }
+        RunTracker tracker = session.runs.get(run.key());
+        if (tracker != null && how == RunEndProto.RUN_LOST) {
+            reportLoss(session, tracker);
+        }
         session.runs.remove(run.key());
     }
 
+    private void reportLoss(WorkerSession session, RunTracker tracker) {
+        LossCause cause = lossCause(session);
+        metrics.count(LOST_RUNS, cause);
+        Log.event("runLost")
+                .with("run", tracker.run.key().toString())
+                .with("worker", session.id())
+                .with("cause", cause.name())
+                .with("survivedMs", tracker.survivedMs(session.lastAnswerMs))
+                .with("runs", session.runs.size())
+                .warn();
+    }
+
+    private static LossCause lossCause(WorkerSession session) {
+        if (session.quarantined) {
+            return LossCause.LEASE_EXPIRED;
+        }
+        boolean isInContact = session.leaving || !(session.lastOrderUnanswered || session.removalProposed);
+        return isInContact ? LossCause.WORKER_ANSWERED : LossCause.WORKER_CRASHED;
+    }
+
     void requestStop(RunRecord run, long nowMs) {
         WorkerSession session = sessions.get(run.worker());
         RunTracker tracker = session == null ? null : session.runs.get(run.key());
