--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -44,6 +44,12 @@
     private static final ResourceVector CAPACITY = new ResourceVector(4_000, 4_000, 0);
     private static final long ANSWER_TIMEOUT_MS = 300;
     private static final long MAX_ORDER_DELAY_MS = 12_000;
+    /** After this many crashes, a task that crashes its workers may be started less than three times more. */
+    private static final int CRASH_LIMIT = 3;
+
+    private static final int MAX_CRASHES = CRASH_LIMIT + 2;
+    private static final long CRASH_DELAY_MS = 10;
+    private static final long REBOOT_MS = 3_000;
 
     final SimulatedTime time = new SimulatedTime();
     final List<String> violations = new ArrayList<>();
@@ -59,6 +65,11 @@
     private long term;
     private int nextJob;
     private boolean acceptsExpiredStarts;
+    private boolean keepsIdsOnly;
+    /** The tasks that crash each worker that starts them, and how often each has done so. */
+    private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
+
+    private int crashesWithRunsOfOtherJobs;
 
     SimulatedCell(long seed, int workerCount, double faultRate) {
         this(seed, workerCount, faultRate, DriverSafeguards.allEnabled());
@@ -94,6 +105,27 @@
         return acceptsExpiredStarts;
     }
 
+    /** From now on a worker that has started again accepts orders to its former incarnation, since its id is the same. */
+    void acceptOrdersToFormerIncarnations() {
+        keepsIdsOnly = true;
+    }
+
+    /** From now on the task crashes each worker that starts it. */
+    TaskKey makeCrashing(String job, int index) {
+        TaskKey task = new TaskKey(job, 0, 0, index);
+        crashesByTask.put(task, 0);
+        return task;
+    }
+
+    /** How many workers crashed under a crashing task while they also had runs of other jobs. */
+    int crashesWithRunsOfOtherJobs() {
+        return crashesWithRunsOfOtherJobs;
+    }
+
+    int crashesOf(TaskKey task) {
+        return crashesByTask.get(task);
+    }
+
     // --- events
 
     void elect() {
@@ -161,9 +193,22 @@
     }
 
     void crashOne() {
-        String id = "w" + random.nextInt(workers.size());
-        workers.get(id).crash();
-        time.after(500 + random.nextInt(4_000), () -> boot(id));
+        crash("w" + random.nextInt(workers.size()), 500 + random.nextInt(4_000));
+    }
+
+    /** Crashes some workers at the same moment, as the loss of a rack does. */
+    void crashTogether(int count) {
+        int first = random.nextInt(workers.size());
+        for (int offset = 0; offset < count; offset++) {
+            crash("w" + (first + offset) % workers.size(), REBOOT_MS);
+        }
+    }
+
+    private void crash(String id, long rebootMs) {
+        if (workers.get(id).isUp()) {
+            workers.get(id).crash();
+            time.after(rebootMs, () -> boot(id));
+        }
     }
 
     void partitionOne(long lengthMs) {
@@ -213,12 +258,30 @@
         return step.build();
     }
 
-    /** Schedules the end of a run after a random time, as failed or done. */
+    /** Schedules the end of a run after a random time, as failed or done, or the crash of its worker. */
     void scheduleEnd(SimulatedWorker worker, RunKey run) {
+        if (crashesByTask.containsKey(run.task())) {
+            if (random.nextBoolean()) {
+                crashUnder(worker, run);
+            } else {
+                time.after(CRASH_DELAY_MS, () -> crashUnder(worker, run));
+            }
+            return;
+        }
         RunEndProto how = random.nextInt(20) == 0 ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
         time.after(50 + random.nextInt(1_500), () -> worker.end(run, how));
     }
 
+    private void crashUnder(SimulatedWorker worker, RunKey run) {
+        if (!worker.isRunning(run.task())) {
+            return;
+        }
+        int crashes = crashesByTask.merge(run.task(), 1, Integer::sum);
+        check("start budget", crashes <= MAX_CRASHES, () -> run + " crashed " + crashes + " workers");
+        crashesWithRunsOfOtherJobs += worker.runsOtherJobsThan(run.task().job()) ? 1 : 0;
+        crash(worker.info().getId(), REBOOT_MS);
+    }
+
     ResourceVector resourcesOf(TaskKey task) {
         return job(task.job()).step(task.occurrence(), task.step()).perTask();
     }
@@ -300,10 +363,11 @@
         SimulatedWorker worker = workers.get(to.getId());
         if (!worker.isUp()) {
             result.accept(new OrderOutcome.NotSent());
-        } else if (worker.info().getBornMs() != to.getBornMs()) {
+        } else if (!keepsIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
             result.accept(new OrderOutcome.Refused(OrderRefusal.OTHER_LIFE));
         } else {
-            result.accept(order.executeOn(worker));
+            OrderOutcome outcome = order.executeOn(worker);
+            result.accept(worker.isUp() ? outcome : new OrderOutcome.Unanswered());
         }
     }
 
@@ -316,7 +380,7 @@
         time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
             SimulatedWorker worker = workers.get(to.getId());
             boolean isReachable = worker.isUp() && !partitioned.contains(to.getId());
-            if (isReachable && worker.info().getBornMs() != to.getBornMs()) {
+            if (isReachable && !keepsIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
             } else if (isReachable) {
                 result.accept(worker.renew(order));
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -79,6 +79,10 @@
         return isUp && running.containsKey(task);
     }
 
+    boolean runsOtherJobsThan(String job) {
+        return running.keySet().stream().anyMatch(task -> !task.job().equals(job));
+    }
+
     /** Ends all runs at once; none of their ends is ever listed. */
     void crash() {
         isUp = false;
