Find the task that crashes its workers, isolate suspects, give the job up

Ruled out: a count that is lost with the leader (there was none).

Fix: nobody reports which run is to blame, so it is found out. The leader says of each lost run whether its worker crashed, how long the worker went on with it, and whether other jobs had runs there; a crash at the same time as the unexplained loss of another worker counts against nobody.

Two crashes in isolation, or five in all, end the job as failed. The command that does so is also a cancellation, so that replicas of an older build end the job as well. A start without an answer is sent again only once the worker has listed its runs as the same incarnation.

The simulated log now commits one leader's proposals in their order, as the real one does.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -99,7 +99,7 @@
                         DriverSafeguards.allEnabled()),
                 newLeadership.term(),
                 nowMs);
-        leader = new GraphLeader(machine, driver, this::proposeWithoutReply, clock, wallClock, planOrder);
+        leader = new GraphLeader(machine, driver, this::proposeWithoutReply, clock, wallClock, planOrder, metrics);
         callerHandler = new CallerRequestHandler(machine, this::proposeWithReply, metrics);
         machine.setListener(leader);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -30,6 +30,7 @@
 import org.lovagegrade.graph.planning.WorkspaceQuotas;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.logging.Log;
+import org.lovagegrade.kernel.metrics.Metrics;
 import org.lovagegrade.wire.proto.AdvicePollProto;
 import org.lovagegrade.wire.proto.AdviceQuestionProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
@@ -58,6 +59,7 @@
     private final PlanOrder planOrder;
     private final AdviceBroker adviceBroker = new AdviceBroker();
     private final WorkerHealth health = new WorkerHealth();
+    private final CrashingJobs crashingJobs;
     /** Starts that were proposed to the log and are not committed yet. */
     private final Map<RunKey, Placement> proposedStarts = new HashMap<>();
     /** Whether anything that affects placement has changed since the last plan. */
@@ -73,13 +75,15 @@
             CommandProposer proposer,
             Clock clock,
             Clock wallClock,
-            PlanOrder planOrder) {
+            PlanOrder planOrder,
+            Metrics metrics) {
         this.machine = machine;
         this.driver = driver;
         this.proposer = proposer;
         this.clock = clock;
         this.wallClock = wallClock;
         this.planOrder = planOrder;
+        this.crashingJobs = new CrashingJobs(proposer, metrics);
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.workerChanged(worker, nowMs));
     }
@@ -131,6 +135,7 @@
             if (isOutdated) {
                 acknowledge.run();
             } else {
+                driver.replacePredecessors(reported);
                 propose.accept(GraphCommandProto.newBuilder().setWorker(reported));
             }
             return;
@@ -245,6 +250,7 @@
         dirty = true;
         job.occurrences().forEach(steps -> steps.forEach(step -> adviceBroker.forgetStep(step.name())));
         health.forgetJob(job.id());
+        crashingJobs.forget(job);
         Log.event("jobOver")
                 .with("job", job.id())
                 .with("state", job.state().name())
@@ -337,7 +343,7 @@
         List<StepDemand> demands = new ArrayList<>();
         for (JobRecord job : machine.activeJobs()) {
             Optional<QueueProto> queue = machine.queue(job.graph().getQueue());
-            if (queue.isEmpty() || job.waitingTasks() == 0) {
+            if (queue.isEmpty() || job.waitingTasks() == 0 || crashingJobs.giveUpIfCrashing(job)) {
                 continue;
             }
             for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
@@ -381,7 +387,13 @@
         return waiting.isEmpty()
                 ? Optional.empty()
                 : Optional.of(new StepDemand(
-                        step, queue, waiting, urgency, dueAtMs, index -> health.workersToAvoid(step.key(index))));
+                        step,
+                        queue,
+                        waiting,
+                        urgency,
+                        dueAtMs,
+                        index -> step.tasks().get(index).crashHistory().isSuspect(),
+                        index -> health.workersToAvoid(step.key(index))));
     }
 
     private List<CandidateWorker> candidateWorkers(long nowMs) {
@@ -396,8 +408,9 @@
                 ResourceVector capacity = ResourceVector.of(session.info().getCapacity());
                 CandidateWorker candidate = new CandidateWorker(session.info(), capacity.minus(session.record.used()));
                 for (RunRecord run : session.record.runs().values()) {
-                    if (run.step().spec().getMostPerWorker() > 0) {
-                        candidate.addTasks(run.step().name(), 1);
+                    candidate.addRun(run.step());
+                    if (session.mayCrashUnder(run)) {
+                        candidate.isolate(run.step().job().id());
                     }
                 }
                 candidatesById.put(session.id(), candidate);
@@ -407,7 +420,10 @@
         for (Placement placement : proposedStarts.values()) {
             CandidateWorker candidate = candidatesById.get(placement.worker().getId());
             if (candidate != null) {
-                candidate.addPendingStart(placement.step());
+                candidate.addStart(placement.step());
+                if (placement.task().crashHistory().isSuspect()) {
+                    candidate.isolate(placement.step().job().id());
+                }
             }
         }
         return usable;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -52,7 +52,7 @@
             case STARTING -> {
                 if (tracker.stopRequested) {
                     stop(session, tracker);
-                } else {
+                } else if (isIncarnationConfirmed(session, tracker)) {
                     start(session, tracker, nowMs);
                 }
             }
@@ -65,8 +65,17 @@
         }
     }
 
+    /**
+     * Whether the worker has listed its runs since the last failure. Until then it may be another incarnation under the
+     * same id, which would begin a run that the former one has lost, and perhaps crash under it as well.
+     */
+    private static boolean isIncarnationConfirmed(WorkerSession session, RunTracker tracker) {
+        return session.lastListedMs > tracker.lastFailureMs;
+    }
+
     private void start(WorkerSession session, RunTracker tracker, long nowMs) {
         tracker.inFlight = true;
+        tracker.orderSent = true;
         session.startSent(tracker.run.key(), nowMs);
         StartOrder message = new StartOrder(
                 tracker.run.key(),
@@ -107,7 +116,9 @@
                 tracker.inDoubt = true;
                 session.lateStartPossibleUntilMs.put(tracker.run.key(), nowMs + MAX_ORDER_DELAY_MS);
             }
-            session.lastOrderUnanswered = true;
+            session.recordUnanswered(nowMs);
+            tracker.orderSent = tracker.inDoubt;
+            tracker.lastFailureMs = nowMs;
             tracker.nextSendMs = nowMs + RETRY_DELAY_MS;
         }
     }
@@ -122,7 +133,7 @@
                 .warn();
         switch (reason) {
             case FENCED -> term.markFencedOut();
-            case OTHER_LIFE -> outcomeProposer.proposeRemoval(session, "otherLife");
+            case OTHER_LIFE -> outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             case OUTDATED -> verify(tracker, nowMs);
             case UNHEALTHY -> {
                 session.startsPausedUntilMs = nowMs + START_PAUSE_MS;
@@ -174,12 +185,12 @@
             if (refused.reason() == OrderRefusal.FENCED) {
                 term.markFencedOut();
             } else if (refused.reason() == OrderRefusal.OTHER_LIFE) {
-                outcomeProposer.proposeRemoval(session, "otherLife");
+                outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             } else {
                 tracker.nextSendMs = nowMs + RETRY_DELAY_MS;
             }
         } else {
-            session.lastOrderUnanswered = true;
+            session.recordUnanswered(nowMs);
             tracker.nextSendMs = nowMs + RETRY_DELAY_MS;
         }
     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OutcomeProposer.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OutcomeProposer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.worker.EndedRunView;
 import org.lovagegrade.kernel.logging.Log;
@@ -10,14 +11,17 @@
 import org.lovagegrade.wire.proto.EndsProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
 import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.RunLossProto;
 import org.lovagegrade.wire.proto.WorkerGoneProto;
 
 /** Proposes the ends of runs and the removal of workers to the log. */
 final class OutcomeProposer {
     private final CommandProposer proposer;
+    private final CrashAttribution crashAttribution;
 
-    OutcomeProposer(CommandProposer proposer) {
+    OutcomeProposer(CommandProposer proposer, CrashAttribution crashAttribution) {
         this.proposer = proposer;
+        this.crashAttribution = crashAttribution;
     }
 
     /** Proposes the ends that a worker lists, each once, and adds their runs to {@code listedRuns}. */
@@ -72,25 +76,28 @@
                     session,
                     session.proposedCursor,
                     trackers.stream()
-                            .map(tracker -> endOf(tracker, RunEndProto.RUN_LOST))
+                            .map(tracker -> lostEndOf(tracker, crashAttribution.silent(session, tracker)))
                             .toList());
         }
     }
 
     /** Proposes the removal of this incarnation of a worker, after the end of its runs. */
-    void proposeRemoval(WorkerSession session, String reason) {
+    void proposeRemoval(WorkerSession session, WorkerRemovalReason reason) {
         if (session.removalProposed) {
             return;
         }
+        session.removalProposed = true;
+        session.crashed = reason.provesRestart() && !session.isLeaving();
         Log.event("workerGone")
                 .with("worker", session.id())
-                .with("reason", reason)
+                .with("reason", reason.logName())
                 .with("runs", session.runs.size())
+                .with("crashed", session.crashed)
                 .warn();
-        List<EndProto> lost = session.runs.values().stream()
-                .filter(tracker -> tracker.phase != RunTracker.Phase.ENDING)
-                .map(tracker -> endOf(tracker, RunEndProto.RUN_LOST))
-                .toList();
+        List<EndProto> lost = lostEnds(session);
+        if (!session.isLeaving()) {
+            crashAttribution.record(session);
+        }
         if (!lost.isEmpty()) {
             proposeEnds(session, session.record.cursor(), lost);
         }
@@ -98,7 +105,30 @@
                 .setWorkerGone(WorkerGoneProto.newBuilder()
                         .setWorker(session.id())
                         .setBornMs(session.info().getBornMs())));
-        session.removalProposed = true;
+    }
+
+    /** The ends of the worker's runs, and the losses of runs that were given up before the crash was noticed. */
+    private List<EndProto> lostEnds(WorkerSession session) {
+        List<RunTracker> lost = new ArrayList<>();
+        session.runs.values().stream()
+                .filter(tracker -> tracker.phase != RunTracker.Phase.ENDING)
+                .forEach(lost::add);
+        if (!session.crashed) {
+            return lost.stream()
+                    .map(tracker -> endOf(tracker, RunEndProto.RUN_LOST))
+                    .toList();
+        }
+        lost.addAll(session.runsLostWithLease.values());
+        Function<RunTracker, RunLossProto> losses = crashAttribution.crashed(session);
+        return lost.stream()
+                .map(tracker -> tracker.orderSent
+                        ? lostEndOf(tracker, losses.apply(tracker))
+                        : endOf(tracker, RunEndProto.RUN_LOST))
+                .toList();
+    }
+
+    private static EndProto lostEndOf(RunTracker tracker, RunLossProto loss) {
+        return endOf(tracker, RunEndProto.RUN_LOST).toBuilder().setLoss(loss).build();
     }
 
     private static EndProto endOf(RunTracker tracker, RunEndProto how) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -21,6 +21,10 @@
         ENDING
     }
 
+    private static final long NEVER_SEEN = -1;
+    /** A run that its worker survived for longer is an unlikely cause of the worker's crash. */
+    private static final long SOON_AFTER_START_MS = 100;
+
     final RunRecord run;
     final String ticket;
     Phase phase;
@@ -30,7 +34,12 @@
     boolean inDoubt;
 
     boolean stopRequested;
+    /** A start was sent in this term, or may have been sent in an earlier one. */
+    boolean orderSent;
+
     long nextSendMs;
+    /** When a start last went unanswered. */
+    long lastFailureMs = NEVER_SEEN;
     /** Only a listing requested at this time or later reflects the current phase. */
     long listingValidFromMs;
     /** The latest checkpoint that the worker listed. */
@@ -39,8 +48,6 @@
     /** For how long the progress had not changed at the latest listing, in milliseconds. */
     long noProgressMs;
 
-    private static final long NEVER_SEEN = -1;
-
     /** When the worker first confirmed that the run exists there. */
     private long existsSinceMs = NEVER_SEEN;
 
@@ -52,6 +59,7 @@
         this.ticket = ticket;
         this.phase = phase;
         this.percentSinceMs = nowMs;
+        this.orderSent = phase == Phase.VERIFYING;
     }
 
     /** Records that the worker has confirmed the run. */
@@ -66,6 +74,16 @@
         return existsSinceMs == NEVER_SEEN ? 0 : Math.max(0, lastAnswerMs - existsSinceMs);
     }
 
+    /** Whether the run was taken over and its worker has not answered since, so that nothing is known about it. */
+    boolean isUnseen() {
+        return phase == Phase.VERIFYING && existsSinceMs == NEVER_SEEN;
+    }
+
+    /** Whether the run is known to have only just begun when its worker last answered. */
+    boolean isSoonAfterStart(long lastAnswerMs) {
+        return orderSent && !isUnseen() && survivedMs(lastAnswerMs) < SOON_AFTER_START_MS;
+    }
+
     /** Records the progress that a listing shows. */
     void recordProgress(int listedPercent, long nowMs) {
         if (listedPercent != percent) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -22,6 +22,7 @@
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
 import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.WorkerProto;
 
 /**
  * Drives the workers while this replica leads: sends committed starts and stops, renews leases, and proposes the ends
@@ -73,7 +74,8 @@
                 .declare(LOST_RUNS, LossCause.class);
         this.safeguards = dependencies.safeguards();
         this.term = new DriverTerm(term, nowMs);
-        this.outcomeProposer = new OutcomeProposer(dependencies.proposer());
+        this.outcomeProposer =
+                new OutcomeProposer(dependencies.proposer(), new CrashAttribution(sessions::values, clock));
         this.orderSender = new OrderSender(
                 dependencies,
                 this.term,
@@ -219,11 +221,26 @@
     }
 
     private static LossCause lossCause(WorkerSession session) {
-        if (session.quarantined) {
-            return LossCause.LEASE_EXPIRED;
+        if (session.crashed) {
+            return LossCause.WORKER_CRASHED;
         }
-        boolean isInContact = session.leaving || !(session.lastOrderUnanswered || session.removalProposed);
-        return isInContact ? LossCause.WORKER_ANSWERED : LossCause.WORKER_CRASHED;
+        if (session.isLeaving()) {
+            return LossCause.WORKER_LEFT;
+        }
+        return session.quarantined ? LossCause.LEASE_EXPIRED : LossCause.NOT_LISTED;
+    }
+
+    /** Proposes the removal of the incarnations that a worker's report proves to have ended. */
+    void replacePredecessors(WorkerProto successor) {
+        sessions.values().stream()
+                .filter(session -> isPredecessor(session.info(), successor))
+                .toList()
+                .forEach(session -> outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REPLACED));
+    }
+
+    private static boolean isPredecessor(WorkerProto worker, WorkerProto successor) {
+        boolean isSameAddress = worker.getAddress().equals(successor.getAddress());
+        return worker.getId().equals(successor.getId()) ? worker.getBornMs() != successor.getBornMs() : isSameAddress;
     }
 
     void requestStop(RunRecord run, long nowMs) {
@@ -296,7 +313,7 @@
                     }
                     if (outcome instanceof OrderOutcome.Refused refused
                             && refused.reason() == OrderRefusal.OTHER_LIFE) {
-                        outcomeProposer.proposeRemoval(session, "otherLife");
+                        outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
                     }
                 }));
     }
@@ -315,13 +332,18 @@
                         .with("term", term.number())
                         .warn();
             } else if (refused.reason() == OrderRefusal.OTHER_LIFE) {
-                outcomeProposer.proposeRemoval(session, "otherLife");
+                outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             }
         } else if (outcome instanceof RenewOutcome.Unanswered unanswered) {
-            session.lastOrderUnanswered = true;
+            boolean failedBeforeTimeout = nowMs - requestedAtMs < LISTING_WAIT_MS;
+            if (failedBeforeTimeout) {
+                session.recordBrokenConnection(nowMs);
+            } else {
+                session.recordUnanswered(nowMs);
+            }
             session.nextRenewalMs = nowMs + RETRY_DELAY_MS;
             if (unanswered.refusedConnection() && session.leaving) {
-                outcomeProposer.proposeRemoval(session, "left");
+                outcomeProposer.proposeRemoval(session, WorkerRemovalReason.LEFT);
             }
         }
     }
@@ -330,14 +352,16 @@
         if (listed.bornMs() != 0
                 && session.info().getBornMs() != 0
                 && listed.bornMs() != session.info().getBornMs()) {
-            outcomeProposer.proposeRemoval(session, "reborn");
+            outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REBORN);
             return;
         }
         session.clock.update(listed.clockMs(), nowMs);
         session.recordAnswer(nowMs);
+        session.lastListedMs = nowMs;
         listingReconciler.reconcile(session, listed, requestedAtMs, nowMs);
         if (session.quarantined && session.abandonedRuns.isEmpty()) {
             session.quarantined = false;
+            session.runsLostWithLease.clear();
             Log.event("workerRegained").with("worker", session.id()).info();
         }
         if (!session.activated && !session.quarantined) {
@@ -396,6 +420,9 @@
                 }
             }
         }
+        lost.stream()
+                .filter(tracker -> tracker.orderSent)
+                .forEach(tracker -> session.runsLostWithLease.put(tracker.run.key(), tracker));
         outcomeProposer.proposeLost(session, lost);
         removeIfUnresponsive(session, nowMs);
     }
@@ -404,7 +431,8 @@
         boolean isUnresponsive = nowMs - Math.max(session.lastAnswerMs, session.lastHeartbeatMs) > REMOVAL_TIMEOUT_MS;
         boolean isProposed = session.removalProposed;
         if ((session.leaving || isUnresponsive) && !isProposed) {
-            outcomeProposer.proposeRemoval(session, session.leaving ? "left" : "silent");
+            outcomeProposer.proposeRemoval(
+                    session, session.leaving ? WorkerRemovalReason.LEFT : WorkerRemovalReason.SILENT);
         }
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -1,11 +1,15 @@
 package org.lovagegrade.graph.leader;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.lovagegrade.graph.machine.CrashHistory;
 import org.lovagegrade.graph.machine.RunKey;
+import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.WorkerRecord;
 import org.lovagegrade.wire.proto.WorkerProto;
 
@@ -15,6 +19,10 @@
     private static final long UNRESPONSIVE_MS = 3_000;
     /** A worker that leaves a start unanswered this long gets no others; a healthy worker answers in a tenth of it. */
     private static final long OVERDUE_START_MS = 150;
+    /** How much later than the crash of a worker the loss of its connections may be noticed. */
+    private static final long BROKEN_CONNECTION_DELAY_MS = 200;
+    /** Longer than the time between two answers, since a crash is only known to lie between two of them. */
+    private static final long HARMLESS_MARGIN_MS = 2_000;
 
     final WorkerRecord record;
     final WorkerClock clock = new WorkerClock();
@@ -24,6 +32,9 @@
     /** For each run with an unanswered start, the time until which that start may still arrive. */
     final Map<RunKey, Long> lateStartPossibleUntilMs = new HashMap<>();
 
+    /** Runs that were given up when the lease expired; a crash that is noticed later counts against them as well. */
+    final Map<RunKey, RunTracker> runsLostWithLease = new HashMap<>();
+
     /** When each start that awaits its answer was sent, the oldest first. */
     private final Map<RunKey, Long> unansweredStartsSentMs = new LinkedHashMap<>();
 
@@ -37,10 +48,21 @@
     boolean renewalInFlight;
     /** An order or a renewal went unanswered, and no answer has arrived since. */
     boolean lastOrderUnanswered;
+    /** When the first order or renewal since the last answer went unanswered. */
+    private long firstUnansweredMs;
+
+    /** The connection of a renewal broke, and no answer has arrived since. */
+    private boolean connectionBroken;
 
     boolean removalProposed;
+    /** Another incarnation has started without this one having announced its end. */
+    boolean crashed;
+
     long nextRenewalMs;
     long lastAnswerMs;
+    /** When the worker last listed its runs as this incarnation. */
+    long lastListedMs;
+
     long lastHeartbeatMs;
     /** The number of the last end that was proposed to the log. */
     long proposedCursor;
@@ -65,6 +87,53 @@
     void recordAnswer(long nowMs) {
         lastAnswerMs = nowMs;
         lastOrderUnanswered = false;
+        connectionBroken = false;
+    }
+
+    void recordUnanswered(long nowMs) {
+        if (!lastOrderUnanswered) {
+            lastOrderUnanswered = true;
+            firstUnansweredMs = nowMs;
+        }
+    }
+
+    /** Records that the connection of a renewal broke, which shows a crash at once, unlike a timeout. */
+    void recordBrokenConnection(long nowMs) {
+        recordUnanswered(nowMs);
+        connectionBroken = true;
+    }
+
+    /** The earliest time at which the worker may have been lost, if it is lost. */
+    long lostAfterMs() {
+        return connectionBroken ? Math.max(lastAnswerMs, firstUnansweredMs - BROKEN_CONNECTION_DELAY_MS) : lastAnswerMs;
+    }
+
+    /** When the worker first left an order unanswered since its last answer, or now if it has left none. */
+    long unansweredSinceMs(long nowMs) {
+        return lastOrderUnanswered ? firstUnansweredMs : nowMs;
+    }
+
+    /** The runs that may have been on the worker when it last answered, with those given up since. */
+    List<RunTracker> runsAtLastAnswer() {
+        List<RunTracker> aboard = new ArrayList<>(runsLostWithLease.values());
+        runs.values().stream().filter(tracker -> tracker.orderSent).forEach(aboard::add);
+        return aboard;
+    }
+
+    /** Whether a run had only just begun when the worker last answered, as far as this leader can tell. */
+    boolean mayHaveHadRunSoonAfterStart() {
+        return runsAtLastAnswer().stream()
+                .anyMatch(tracker -> tracker.isUnseen() || tracker.isSoonAfterStart(lastAnswerMs));
+    }
+
+    /** Whether a run of a suspect task has not yet lasted for longer than the runs that were lost in crashes. */
+    boolean mayCrashUnder(RunRecord run) {
+        CrashHistory history = run.step().tasks().get(run.key().task().index()).crashHistory();
+        if (!history.isSuspect()) {
+            return false;
+        }
+        RunTracker tracker = runs.get(run.key());
+        return tracker == null || tracker.survivedMs(lastAnswerMs) < history.longestSurvivalMs() + HARMLESS_MARGIN_MS;
     }
 
     void startSent(RunKey run, long nowMs) {
@@ -86,15 +155,19 @@
         return nowMs - lastAnswerMs < OVERDUE_START_MS;
     }
 
+    /** Whether the worker has announced its end. */
+    boolean isLeaving() {
+        return leaving || info().getDraining();
+    }
+
     /** Whether runs may be started on this worker. */
     boolean isUsable(long nowMs) {
         return activated
                 && !quarantined
-                && !leaving
+                && !isLeaving()
                 && !removalProposed
                 && !lastOrderUnanswered
                 && !isStartOverdue(nowMs)
-                && !info().getDraining()
                 && startsPausedUntilMs <= nowMs
                 && nowMs - lastAnswerMs < UNRESPONSIVE_MS;
     }
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
@@ -150,7 +150,7 @@
                 return submit(command.getSubmit());
             }
             case CANCEL -> {
-                return cancel(command.getCancel());
+                return cancel(command.getCancel(), command.hasGiveUp());
             }
             case START -> applyStarts(command.getStart());
             case END -> applyEnds(command.getEnd());
@@ -202,13 +202,14 @@
         return callerReply(CallerOutcomeProto.CALLER_OK);
     }
 
-    private GraphReplyProto cancel(String id) {
+    /** Ends a job: cancelled by its caller, or failed because the scheduler gives it up. */
+    private GraphReplyProto cancel(String id, boolean isGivenUp) {
         Optional<JobRecord> job = jobs.find(id);
         if (job.isEmpty()) {
             return callerReply(CallerOutcomeProto.CALLER_GONE);
         }
         if (!job.get().isFinished()) {
-            finish(job.get(), GraphStateProto.GRAPH_CANCELLED);
+            finish(job.get(), isGivenUp ? GraphStateProto.GRAPH_FAILED : GraphStateProto.GRAPH_CANCELLED);
         }
         return callerReply(CallerOutcomeProto.CALLER_OK);
     }
@@ -294,6 +295,9 @@
         WorkerRecord worker = known.get();
         worker.cursor = Math.max(worker.cursor, ends.getCursor());
         for (EndProto end : ends.getEndsList()) {
+            if (end.hasLoss()) {
+                recordLoss(end);
+            }
             RunRecord run = worker.runs().get(new RunKey(TaskKey.of(end.getTask()), end.getRun()));
             if (run != null) {
                 endRun(run, end.getHow(), end.getCheckpoint());
@@ -301,6 +305,17 @@
         }
     }
 
+    private void recordLoss(EndProto end) {
+        TaskKey key = TaskKey.of(end.getTask());
+        Optional<StepRecord> step =
+                jobs.stepOf(key).filter(found -> !found.job().isFinished());
+        if (step.isPresent()) {
+            TaskRecord task = step.get().tasks().get(key.index());
+            task.crashHistory = task.crashHistory.plus(end.getRun(), end.getLoss());
+            step.get().job().noteIfCrashing(step.get(), key.index());
+        }
+    }
+
     private void endRun(RunRecord run, RunEndProto runEnd, String checkpoint) {
         boolean wasObsolete = run.isObsolete();
         runs.removeRun(run);
--- a/graph/src/main/java/org/lovagegrade/graph/machine/JobRecord.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/JobRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.lovagegrade.wire.proto.GraphJobProto;
 import org.lovagegrade.wire.proto.GraphOccurrenceProto;
 import org.lovagegrade.wire.proto.GraphProto;
@@ -15,6 +16,7 @@
     GraphStateProto state = GraphStateProto.GRAPH_QUEUED;
     long finishedAtMs;
     int waitingTasks;
+    private TaskKey crashingTask;
 
     JobRecord(GraphProto graph, long acceptedAtMs) {
         this.graph = graph;
@@ -113,6 +115,22 @@
         return graph.getOccurrences() > 0 ? graph.getFirstDueMs() + occurrence * graph.getIntervalMs() : acceptedAtMs;
     }
 
+    /**
+     * A task that must not be started any more, since it crashes its workers.
+     *
+     * @return the first such task that was noticed, or empty
+     */
+    public Optional<TaskKey> crashingTask() {
+        return Optional.ofNullable(crashingTask);
+    }
+
+    void noteIfCrashing(StepRecord step, int index) {
+        boolean isCrashing = step.tasks().get(index).crashHistory().mustBeGivenUp();
+        if (isCrashing && crashingTask == null) {
+            crashingTask = step.key(index);
+        }
+    }
+
     boolean hasTask(TaskKey key) {
         return key.occurrence() >= 0
                 && key.occurrence() < occurrences.size()
@@ -156,6 +174,9 @@
         for (int occurrence = 0; occurrence < proto.getOccurrencesCount(); occurrence++) {
             for (StepRecord step : job.occurrences.get(occurrence)) {
                 step.restore(proto.getOccurrences(occurrence).getSteps(step.number()));
+                for (int index = 0; index < step.tasks().size(); index++) {
+                    job.noteIfCrashing(step, index);
+                }
             }
         }
         return job;
--- a/graph/src/main/java/org/lovagegrade/graph/machine/TaskRecord.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/TaskRecord.java
@@ -9,6 +9,7 @@
     int run;
     int failures;
     String checkpoint = "";
+    CrashHistory crashHistory = CrashHistory.NONE;
 
     /**
      * Whether the task waits for a run.
@@ -64,13 +65,25 @@
         return checkpoint;
     }
 
+    /**
+     * The crashes of workers under the task's runs.
+     *
+     * @return the history
+     */
+    public CrashHistory crashHistory() {
+        return crashHistory;
+    }
+
     GraphTaskProto toProto() {
-        return GraphTaskProto.newBuilder()
+        GraphTaskProto.Builder proto = GraphTaskProto.newBuilder()
                 .setState(state)
                 .setRun(run)
                 .setFailures(failures)
-                .setCheckpoint(checkpoint)
-                .build();
+                .setCheckpoint(checkpoint);
+        if (!crashHistory.equals(CrashHistory.NONE)) {
+            proto.setCrashHistory(crashHistory.toProto());
+        }
+        return proto.build();
     }
 
     void restore(GraphTaskProto proto) {
@@ -78,5 +91,6 @@
         run = proto.getRun();
         failures = proto.getFailures();
         checkpoint = proto.getCheckpoint();
+        crashHistory = CrashHistory.of(proto.getCrashHistory());
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
@@ -12,6 +12,8 @@
     private final Map<String, Integer> tasksByStep = new HashMap<>();
     private ResourceVector free;
     private int reservedForPriority = Integer.MAX_VALUE;
+    private int runs;
+    private String isolatedJob = "";
 
     /**
      * Creates a candidate for one plan.
@@ -52,13 +54,17 @@
     }
 
     /**
-     * Counts tasks of a step on this worker, for the step's limit of tasks per worker.
+     * Counts a run whose resources are not part of the free ones.
      *
-     * @param step the step's name
-     * @param tasks the number of tasks to add
+     * @param step the step of its task
      */
-    public void addTasks(String step, int tasks) {
-        tasksByStep.merge(step, tasks, Integer::sum);
+    public void addRun(StepRecord step) {
+        runs++;
+        tasksByStep.merge(step.name(), 1, Integer::sum);
+    }
+
+    int runs() {
+        return runs;
     }
 
     int tasksOf(String step) {
@@ -70,13 +76,30 @@
     }
 
     /**
-     * Allocates the resources of a start that was proposed and is not yet committed.
+     * Adds a run that starts: one of this plan, or one that was proposed and is not yet committed.
      *
-     * @param step the step of the task
+     * @param step the step of its task
      */
-    public void addPendingStart(StepRecord step) {
+    public void addStart(StepRecord step) {
         allocate(step.perTask());
-        addTasks(step.name(), 1);
+        addRun(step);
+    }
+
+    /**
+     * Closes this worker to all other jobs, since a run of the given one may crash it.
+     *
+     * @param job the id of the job
+     */
+    public void isolate(String job) {
+        isolatedJob = job;
+    }
+
+    boolean isIsolated() {
+        return !isolatedJob.isEmpty();
+    }
+
+    boolean isIsolatedFor(String job) {
+        return isolatedJob.equals(job);
     }
 
     /** Reserves this worker for queues whose priority number is at most the given one. */
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Placement.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Placement.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.graph.planning;
 
 import org.lovagegrade.graph.machine.StepRecord;
+import org.lovagegrade.graph.machine.TaskRecord;
 import org.lovagegrade.wire.proto.WorkerProto;
 
 /**
@@ -11,4 +12,13 @@
  * @param run the number of the new run, from 1
  * @param worker the worker that is to run the task
  */
-public record Placement(StepRecord step, int index, int run, WorkerProto worker) {}
+public record Placement(StepRecord step, int index, int run, WorkerProto worker) {
+    /**
+     * The task.
+     *
+     * @return its record
+     */
+    public TaskRecord task() {
+        return step.tasks().get(index);
+    }
+}
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
@@ -30,11 +31,14 @@
     /** An adviser accepts at most this many workers in a request. */
     private static final int MAX_WORKERS_PER_REQUEST = 100;
 
+    private static final int HIGHEST_PRIORITY = -1;
+
     private final List<CandidateWorker> workers;
     private final AdviceLookup advice;
     private final WorkspaceQuotas quotas;
     private final List<Placement> placements = new ArrayList<>();
     private final List<AdviceRequest> adviceRequests = new ArrayList<>();
+    private final Isolation isolation;
     private int gangsWithReservation;
 
     /**
@@ -48,6 +52,7 @@
         this.workers = workers;
         this.advice = advice;
         this.quotas = quotas;
+        this.isolation = new Isolation(workers);
     }
 
     /**
@@ -71,15 +76,23 @@
 
     private void planTasks(StepDemand demand) {
         Candidates candidates = candidates(demand);
+        Map<Boolean, List<Integer>> waiting =
+                demand.waiting().stream().collect(Collectors.partitioningBy(demand.isSuspect()::test));
+        planSoundTasks(demand, candidates, waiting.get(false));
+        planSuspectTasks(demand, candidates, waiting.get(true));
+    }
+
+    private void planSoundTasks(StepDemand demand, Candidates candidates, List<Integer> waiting) {
         ResourceVector need = demand.step().perTask();
         int unplaced = 0;
-        for (int index : demand.waiting()) {
+        for (int position = 0; position < waiting.size(); position++) {
             if (!quotas.allows(workspace(demand), need)) {
                 break;
             }
+            int index = waiting.get(position);
             Optional<CandidateWorker> selected = selectWorker(demand, index, candidates.allowed);
             if (selected.isEmpty()) {
-                unplaced = demand.waiting().size() - demand.waiting().indexOf(index);
+                unplaced = waiting.size() - position;
                 break;
             }
             place(demand, index, demand.step().tasks().get(index).run() + 1, selected.get());
@@ -89,6 +102,47 @@
         }
     }
 
+    private void planSuspectTasks(StepDemand demand, Candidates candidates, List<Integer> waiting) {
+        ResourceVector need = demand.step().perTask();
+        for (int index : waiting) {
+            if (!quotas.allows(workspace(demand), need)) {
+                return;
+            }
+            Optional<CandidateWorker> selected = isolation.select(
+                    demand,
+                    candidates.allowed,
+                    worker -> hasRoom(demand, worker, need) && worker.isOpenTo(demand.priority()));
+            if (selected.isEmpty()) {
+                prepareIsolation(demand, candidates);
+                return;
+            }
+            selected.get().isolate(demand.job());
+            place(demand, index, demand.step().tasks().get(index).run() + 1, selected.get());
+        }
+    }
+
+    /** Requests tickets for empty workers, or keeps a worker free of further runs until it is empty. */
+    private void prepareIsolation(StepDemand demand, Candidates candidates) {
+        if (!isolation.mayIsolateAnother(demand)) {
+            return;
+        }
+        List<CandidateWorker> emptyWithoutTicket = isolation.unused(candidates.stale);
+        if (emptyWithoutTicket.isEmpty()) {
+            emptyWithoutTicket = isolation.unused(candidates.unknown);
+        }
+        if (!emptyWithoutTicket.isEmpty()) {
+            isolation.reserve(demand.job(), emptyWithoutTicket);
+            if (!advice.isPending(demand.step().name())) {
+                addAdviceRequest(demand, emptyWithoutTicket);
+            }
+            return;
+        }
+        List<CandidateWorker> eligible = new ArrayList<>(candidates.allowed);
+        eligible.addAll(candidates.stale);
+        eligible.addAll(candidates.unknown);
+        isolation.reserve(demand.job(), eligible);
+    }
+
     /** Selects the best fit: not an avoided worker, then near the data, then with the fewest free cores. */
     private static Optional<CandidateWorker> selectWorker(StepDemand demand, int index, List<CandidateWorker> from) {
         ResourceVector need = demand.step().perTask();
@@ -101,10 +155,15 @@
     }
 
     private static boolean canHost(StepDemand demand, CandidateWorker worker, ResourceVector need) {
+        boolean isOpen = !worker.isIsolated() || (demand.hasSuspects() && worker.isIsolatedFor(demand.job()));
+        return isOpen && hasRoom(demand, worker, need) && worker.isOpenTo(demand.priority());
+    }
+
+    private static boolean hasRoom(StepDemand demand, CandidateWorker worker, ResourceVector need) {
         StepProto spec = demand.step().spec();
         boolean isBelowStepLimit =
                 spec.getMostPerWorker() <= 0 || worker.tasksOf(demand.step().name()) < spec.getMostPerWorker();
-        return isBelowStepLimit && need.fitsInto(worker.free()) && worker.isOpenTo(demand.priority());
+        return isBelowStepLimit && need.fitsInto(worker.free());
     }
 
     private static boolean isNearData(StepDemand demand, CandidateWorker worker) {
@@ -123,8 +182,17 @@
             return;
         }
         Candidates candidates = candidates(demand);
-        List<CandidateWorker> selected = selectWorkers(demand, candidates.allowed, members);
+        boolean isSuspect = demand.hasSuspects();
+        List<CandidateWorker> allowed =
+                isSuspect ? isolation.openToGang(demand.job(), candidates.allowed) : candidates.allowed;
+        List<CandidateWorker> selected = selectWorkers(demand, allowed, members);
+        if (isSuspect && !isolation.mayIsolate(selected.stream().distinct().count())) {
+            return;
+        }
         if (selected.size() == members) {
+            if (isSuspect) {
+                selected.forEach(worker -> worker.isolate(demand.job()));
+            }
             int run = step.nextGangRun();
             for (int index = 0; index < members; index++) {
                 place(demand, index, run, selected.get(index));
@@ -203,7 +271,7 @@
             ResourceVector capacity = ResourceVector.of(worker.info().getCapacity());
             reserved +=
                     Math.min(demand.step().perTask().timesInto(capacity, members), remainingStepTasks(demand, worker));
-            worker.reserveFor(demand.priority());
+            worker.reserveFor(demand.hasSuspects() ? HIGHEST_PRIORITY : demand.priority());
         }
     }
 
@@ -281,8 +349,7 @@
 
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
         ResourceVector need = demand.step().perTask();
-        worker.allocate(need);
-        worker.addTasks(demand.step().name(), 1);
+        worker.addStart(demand.step());
         quotas.allocate(workspace(demand), need);
         placements.add(new Placement(demand.step(), index, run, worker.info()));
     }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.IntFunction;
+import java.util.function.IntPredicate;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.wire.proto.QueueProto;
 
@@ -14,6 +15,7 @@
  * @param waiting the numbers of the tasks that wait and have no pending start
  * @param urgency whether the occurrence can still meet its objective
  * @param dueAtMs when the occurrence became due, in milliseconds since 1970
+ * @param isSuspect whether a task, by its number, may crash its worker and must not share it with other jobs
  * @param avoidedWorkers the ids of workers that a task should avoid while others have free capacity, by its number
  */
 public record StepDemand(
@@ -22,11 +24,20 @@
         List<Integer> waiting,
         Urgency urgency,
         long dueAtMs,
+        IntPredicate isSuspect,
         IntFunction<Set<String>> avoidedWorkers) {
     boolean needsTicket() {
         return queue.hasAdvice();
     }
 
+    String job() {
+        return step.job().id();
+    }
+
+    boolean hasSuspects() {
+        return waiting.stream().anyMatch(isSuspect::test);
+    }
+
     int priority() {
         return queue.getPriority();
     }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -64,6 +64,7 @@
     private WorkerDriver driver;
     private long term;
     private int nextJob;
+    private long lastCommitMs;
     private boolean acceptsExpiredStarts;
     private boolean keepsIdsOnly;
     /** The tasks that crash each worker that starts them, and how often each has done so. */
@@ -156,12 +157,14 @@
                         safeguards),
                 ownTerm,
                 time.nowMs());
-        leader = new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency());
+        leader = new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency(), Metrics.create());
         machine.setListener(leader);
     }
 
+    /** Commits after a random delay, in the order of the proposals, as one leader's log does. */
     private void commit(long ownTerm, GraphCommandProto.Builder command) {
-        time.after(1 + random.nextInt(15), () -> {
+        lastCommitMs = Math.max(lastCommitMs, time.nowMs() + 1 + random.nextInt(15));
+        time.after(lastCommitMs - time.nowMs(), () -> {
             if (term == ownTerm) {
                 machine.apply(command.setAtMs(time.nowMs()).build());
             }
--- a/graph/src/test/java/org/lovagegrade/graph/machine/GraphStateMachineTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/machine/GraphStateMachineTest.java
@@ -12,6 +12,7 @@
 import org.lovagegrade.wire.proto.EndProto;
 import org.lovagegrade.wire.proto.EndsProto;
 import org.lovagegrade.wire.proto.FleetDocumentProto;
+import org.lovagegrade.wire.proto.GiveUpProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
 import org.lovagegrade.wire.proto.GraphProto;
 import org.lovagegrade.wire.proto.GraphReplyProto;
@@ -20,6 +21,7 @@
 import org.lovagegrade.wire.proto.QueueProto;
 import org.lovagegrade.wire.proto.ResourcesProto;
 import org.lovagegrade.wire.proto.RunEndProto;
+import org.lovagegrade.wire.proto.RunLossProto;
 import org.lovagegrade.wire.proto.StartProto;
 import org.lovagegrade.wire.proto.StartsProto;
 import org.lovagegrade.wire.proto.StepProto;
@@ -317,6 +319,90 @@
         }
     }
 
+    @Nested
+    final class WorkerCrashes {
+        private static final RunLossProto CRASH = RunLossProto.newBuilder()
+                .setCountsAsCrash(true)
+                .setSoonAfterStart(true)
+                .setIsolated(true)
+                .build();
+
+        private void applyCrash(String worker, String job, int run) {
+            apply(GraphCommandProto.newBuilder()
+                    .setEnd(EndsProto.newBuilder()
+                            .setWorker(worker)
+                            .setBornMs(1)
+                            .addEnds(EndProto.newBuilder()
+                                    .setTask(new TaskKey(job, 0, 0, 0).toProto())
+                                    .setRun(run)
+                                    .setHow(RunEndProto.RUN_LOST)
+                                    .setLoss(CRASH))));
+        }
+
+        @Test
+        void shouldBeCountedAcrossSnapshots() {
+            submit("a", step(1, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            applyCrash("w1", "a", 1);
+
+            GraphStateMachine restored = GraphStateMachine.withRetention(RETENTION_MS);
+            restored.restore(machine.snapshot());
+
+            JobRecord job = restored.job("a").orElseThrow();
+            assertThat(job.step(0, 0).tasks().get(0).crashHistory())
+                    .isEqualTo(task("a", 0, 0).crashHistory());
+            assertThat(job.step(0, 0).tasks().get(0).crashHistory().crashes()).isEqualTo(1);
+        }
+
+        @Test
+        void shouldMarkTheJobAcrossSnapshotsOnceATaskMustBeGivenUp() {
+            submit("a", step(1, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            applyCrash("w1", "a", 1);
+            applyStarts(startOf("a", 0, 0, 2, "w2"));
+            applyCrash("w2", "a", 2);
+
+            GraphStateMachine restored = GraphStateMachine.withRetention(RETENTION_MS);
+            restored.restore(machine.snapshot());
+
+            TaskKey crashing = new TaskKey("a", 0, 0, 0);
+            assertThat(machine.job("a").orElseThrow().crashingTask()).hasValue(crashing);
+            assertThat(restored.job("a").orElseThrow().crashingTask()).hasValue(crashing);
+        }
+
+        @Test
+        void shouldCountWhenTheRunWasGivenUpBeforeTheCrashWasNoticed() {
+            submit("a", step(1, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            applyEnd("w1", 0, "a", 0, 0, 1, RunEndProto.RUN_LOST);
+
+            applyCrash("w1", "a", 1);
+
+            assertThat(task("a", 0, 0).crashHistory().crashes()).isEqualTo(1);
+        }
+
+        @Test
+        void shouldFailAJobThatIsGivenUp() {
+            submit("a", step(1, false));
+
+            apply(GraphCommandProto.newBuilder()
+                    .setCancel("a")
+                    .setGiveUp(GiveUpProto.newBuilder().setTask(new TaskKey("a", 0, 0, 0).toProto())));
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_FAILED);
+        }
+
+        @Test
+        void shouldNotChangeTheStateOfAFinishedJob() {
+            submit("a", step(1, false));
+            apply(GraphCommandProto.newBuilder().setCancel("a"));
+
+            apply(GraphCommandProto.newBuilder().setCancel("a").setGiveUp(GiveUpProto.getDefaultInstance()));
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_CANCELLED);
+        }
+    }
+
     @Nested
     final class TasksAndRunsOfAJob {
         @Test
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlanOrderTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlanOrderTest.java
@@ -44,6 +44,7 @@
                 List.of(0),
                 urgency,
                 dueAtMs,
+                _index -> false,
                 _index -> Set.of()));
     }
 
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,7 @@
     private final WorkspaceQuotas quotas = new WorkspaceQuotas();
     private final FakeAdvice advice = new FakeAdvice();
     private Set<String> avoidedWorkers = Set.of();
+    private Set<Integer> suspects = Set.of();
 
     /** Returns the verdicts that a test sets, and unknown for all others. */
     private static final class FakeAdvice implements AdviceLookup {
@@ -83,7 +85,8 @@
         StepRecord record = machine.job(job).orElseThrow().step(0, 0);
         List<Integer> waiting =
                 IntStream.range(0, record.tasks().size()).boxed().toList();
-        return new StepDemand(record, queue.build(), waiting, Urgency.IN_TIME, 0, _index -> avoidedWorkers);
+        return new StepDemand(
+                record, queue.build(), waiting, Urgency.IN_TIME, 0, suspects::contains, _index -> avoidedWorkers);
     }
 
     private static StepProto.Builder step(int count, long milliCores) {
@@ -216,6 +219,130 @@
         }
     }
 
+    @Nested
+    final class SuspectTasks {
+        private void addRunTo(String id, String job) {
+            StepRecord step = demand(job, 0, false, step(1, 100)).step();
+            workers.stream().filter(worker -> worker.id().equals(id)).forEach(worker -> worker.addRun(step));
+        }
+
+        private void addWorkers(int count) {
+            for (int number = 0; number < count; number++) {
+                addWorker("w" + number, 16_000, "r1", "a");
+            }
+        }
+
+        private StepDemand suspectDemand(String job, StepProto.Builder step) {
+            suspects = Set.of(0);
+            StepDemand demand = demand(job, 1, false, step);
+            suspects = Set.of();
+            return demand;
+        }
+
+        private StepDemand allSuspectDemand(String job, StepProto.Builder step) {
+            suspects = IntStream.range(0, step.getCount()).boxed().collect(Collectors.toSet());
+            StepDemand demand = demand(job, 1, false, step);
+            suspects = Set.of();
+            return demand;
+        }
+
+        @Test
+        void shouldRunOnAnEmptyWorker() {
+            addWorkers(2);
+            addRunTo("w0", "other");
+
+            assertThat(workersOf(plan(suspectDemand("j", step(1, 1_000))))).containsExactly("w1");
+        }
+
+        @Test
+        void shouldNotBeJoinedByOtherJobs() {
+            addWorkers(2);
+            addRunTo("w0", "other");
+
+            Plan plan = plan(suspectDemand("j", step(1, 1_000)), demand("sound", 2, false, step(2, 1_000)));
+
+            assertThat(workersOf(plan)).containsExactly("w1", "w0", "w0").inOrder();
+        }
+
+        @Test
+        void shouldShareOneWorkerWithSuspectTasksOfTheSameJob() {
+            addWorkers(8);
+
+            Plan plan = plan(allSuspectDemand("j", step(20, 1_000)));
+
+            assertThat(workersOf(plan)).hasSize(16);
+            assertThat(Set.copyOf(workersOf(plan))).hasSize(1);
+        }
+
+        @Test
+        void shouldTakeNoMoreThanAThirdOfTheWorkers() {
+            addWorkers(6);
+
+            Plan plan = plan(
+                    suspectDemand("a", step(1, 1_000)),
+                    suspectDemand("b", step(1, 1_000)),
+                    suspectDemand("c", step(1, 1_000)));
+
+            assertThat(plan.placements()).hasSize(2);
+        }
+
+        @Test
+        void shouldHaveAWorkerKeptFreeWhenNoneIsEmpty() {
+            addWorkers(2);
+            addRunTo("w0", "other");
+            addRunTo("w0", "other");
+            addRunTo("w1", "other");
+
+            Plan plan = plan(suspectDemand("j", step(1, 1_000)), demand("sound", 2, false, step(2, 1_000)));
+
+            assertThat(workersOf(plan)).containsExactly("w0", "w0");
+        }
+
+        @Test
+        void shouldAskTheAdviserAboutEmptyWorkersOnly() {
+            addWorkers(3);
+            addRunTo("w0", "other");
+            suspects = Set.of(0);
+
+            Plan plan = plan(demand("j", 1, true, step(1, 1_000)));
+
+            assertThat(plan.adviceRequests()).hasSize(1);
+            assertThat(plan.adviceRequests().get(0).workers()).containsExactly("w1", "w2");
+        }
+
+        @Test
+        void shouldNotAskTheAdviserWhileTheirShareOfTheWorkersIsTaken() {
+            addWorkers(3);
+            StepDemand first = suspectDemand("first", step(1, 1_000));
+            suspects = Set.of(0);
+
+            Plan plan = plan(first, demand("second", 1, true, step(1, 1_000)));
+
+            assertThat(plan.adviceRequests()).isEmpty();
+        }
+
+        @Test
+        void shouldNotHoldBackTheSoundTasksOfTheirStep() {
+            addWorkers(1);
+            addRunTo("w0", "other");
+
+            assertThat(plan(suspectDemand("j", step(3, 1_000))).placements()).hasSize(2);
+        }
+
+        @Test
+        void shouldHaveTheirGangRunOnWorkersOfItsOwn() {
+            addWorkers(8);
+            addRunTo("w0", "other");
+
+            Plan plan = plan(
+                    suspectDemand("gang", step(2, 16_000).setGang(true)), demand("sound", 2, false, step(1, 1_000)));
+
+            assertThat(workersOf(plan)).hasSize(3);
+            assertThat(Set.copyOf(workersOf(plan))).hasSize(3);
+            assertThat(workersOf(plan).subList(0, 2)).doesNotContain("w0");
+        }
+    }
+
     @Nested
     final class AdviceRequests {
         @Test
