Start nothing on a worker whose capacity may have shrunk below its runs

A worker that leaves a new leader's first renewal unanswered gets starts only once it has reported itself again. A report that is out of date no longer counts as a sign of the worker's state.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -85,7 +85,7 @@
         this.planOrder = planOrder;
         this.crashingJobs = new CrashingJobs(proposer, metrics);
         long nowMs = clock.nowMs();
-        machine.workers().values().forEach(worker -> driver.workerChanged(worker, nowMs));
+        machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
     }
 
     void close() {
@@ -142,7 +142,9 @@
         }
         boolean isStale = current.info().getBornMs() > reported.getBornMs()
                 || current.info().getSequence() > reported.getSequence();
-        driver.session(reported.getId()).ifPresent(session -> session.lastHeartbeatMs = nowMs);
+        if (!isStale) {
+            driver.session(reported.getId()).ifPresent(session -> session.lastHeartbeatMs = nowMs);
+        }
         if (isStale || isUnchanged(current.info(), reported)) {
             acknowledge.run();
         } else {
@@ -404,7 +406,7 @@
             boolean isHealthy =
                     health.mayStart(session.id(), session.record.runs().size(), nowMs)
                             && !unresponsiveDomains.contains(session.info().getFailureDomain());
-            if (isHealthy && session.isUsable(nowMs)) {
+            if (isHealthy && driver.isUsable(session, nowMs)) {
                 ResourceVector capacity = ResourceVector.of(session.info().getCapacity());
                 CandidateWorker candidate = new CandidateWorker(session.info(), capacity.minus(session.record.used()));
                 for (RunRecord run : session.record.runs().values()) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/LeaderTimings.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/LeaderTimings.java
@@ -5,17 +5,29 @@
  *
  * @param leaseMs how long a worker may keep running tasks without a lease renewal, in milliseconds; above 0
  * @param stopMs how long a worker may take to stop a run, in milliseconds; 0 or more
+ * @param heartbeatMs how often a worker reports itself, in milliseconds; above 0
+ * @param contactMs how long a worker's report may take beyond that without being counted as late, in milliseconds; 0 or
+ *     more
  */
-public record LeaderTimings(long leaseMs, long stopMs) {
+public record LeaderTimings(long leaseMs, long stopMs, long heartbeatMs, long contactMs) {
+    /** Allows for the time from a worker's report to the start that relies on it, and its way back. */
+    private static final long REPORT_MARGIN_MS = 500;
+
     /**
      * Validates the timings.
      *
      * @throws IllegalArgumentException if a timing is out of range
      */
     public LeaderTimings {
-        if (leaseMs <= 0 || stopMs < 0) {
+        if (leaseMs <= 0 || stopMs < 0 || heartbeatMs <= 0 || contactMs < 0) {
             throw new IllegalArgumentException(
-                    "expected: leaseMs above 0 and stopMs of 0 or more\n  actual: " + leaseMs + ", " + stopMs);
+                    "expected: leaseMs and heartbeatMs above 0, and stopMs and contactMs of 0 or more\n  actual: "
+                            + leaseMs + ", " + heartbeatMs + ", " + stopMs + ", " + contactMs);
         }
     }
+
+    /** For how long after a worker's last report its capacity may be relied on, in milliseconds. */
+    long maxReportAgeMs() {
+        return Math.max(heartbeatMs, contactMs + heartbeatMs - REPORT_MARGIN_MS);
+    }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -52,6 +52,8 @@
             case STARTING -> {
                 if (tracker.stopRequested) {
                     stop(session, tracker);
+                } else if (session.isOverCapacity()) {
+                    withdrawStart(session, tracker);
                 } else if (isIncarnationConfirmed(session, tracker)) {
                     start(session, tracker, nowMs);
                 }
@@ -137,18 +139,18 @@
             case OUTDATED -> verify(tracker, nowMs);
             case UNHEALTHY -> {
                 session.startsPausedUntilMs = nowMs + START_PAUSE_MS;
-                settleRefusedStart(session, tracker);
+                withdrawStart(session, tracker);
             }
             case NO_ROOM, INVALID, TOO_LATE -> {
                 session.startsPausedUntilMs = nowMs + START_PAUSE_MS;
-                settleRefusedStart(session, tracker);
+                withdrawStart(session, tracker);
             }
-            case NO_TICKET -> settleRefusedStart(session, tracker);
+            case NO_TICKET -> withdrawStart(session, tracker);
         }
     }
 
-    /** Frees the task of a refused start at once, unless an earlier copy of the order may still arrive. */
-    private void settleRefusedStart(WorkerSession session, RunTracker tracker) {
+    /** Frees the task of a start that was refused or must not be sent, unless an earlier copy of the order may still arrive. */
+    private void withdrawStart(WorkerSession session, RunTracker tracker) {
         if (tracker.inDoubt) {
             stop(session, tracker);
         } else {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -118,6 +118,12 @@
         return Optional.ofNullable(sessions.get(worker));
     }
 
+    /** Whether runs may be started on a worker, which also takes a recent report of its capacity. */
+    boolean isUsable(WorkerSession session, long nowMs) {
+        boolean isReportRecent = nowMs - session.lastHeartbeatMs <= timings.maxReportAgeMs();
+        return isReportRecent && session.isUsable(nowMs);
+    }
+
     /**
      * Finds runs that make no progress although their worker answers.
      *
@@ -146,6 +152,12 @@
 
     // --- committed changes
 
+    /** Starts to drive a worker of an earlier leader, whose last report may be as old as the time between two of them. */
+    void takeOver(WorkerRecord record, long nowMs) {
+        workerChanged(record, nowMs);
+        sessions.get(record.info().getId()).lastHeartbeatMs = nowMs - timings.heartbeatMs();
+    }
+
     void workerChanged(WorkerRecord record, long nowMs) {
         WorkerSession current = sessions.get(record.info().getId());
         if (current != null && current.record == record) {
@@ -335,6 +347,9 @@
                 outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             }
         } else if (outcome instanceof RenewOutcome.Unanswered unanswered) {
+            if (!session.activated) {
+                session.forgetReport();
+            }
             boolean failedBeforeTimeout = nowMs - requestedAtMs < LISTING_WAIT_MS;
             if (failedBeforeTimeout) {
                 session.recordBrokenConnection(nowMs);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.lovagegrade.graph.machine.CrashHistory;
+import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.WorkerRecord;
@@ -90,6 +91,11 @@
         connectionBroken = false;
     }
 
+    /** Waits for a new report: the worker may have been cut off since an earlier leader received the last one. */
+    void forgetReport() {
+        lastHeartbeatMs = 0;
+    }
+
     void recordUnanswered(long nowMs) {
         if (!lastOrderUnanswered) {
             lastOrderUnanswered = true;
@@ -155,6 +161,11 @@
         return nowMs - lastAnswerMs < OVERDUE_START_MS;
     }
 
+    /** Whether the worker's capacity has shrunk below what its runs and committed starts need. */
+    boolean isOverCapacity() {
+        return !record.used().fitsInto(ResourceVector.of(info().getCapacity()));
+    }
+
     /** Whether the worker has announced its end. */
     boolean isLeaving() {
         return leaving || info().getDraining();
--- a/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
@@ -26,6 +26,10 @@
     }
 
     private static SimulatedCell simulate(SimulatedCell cell, long seed) {
+        return simulate(cell, seed, () -> {});
+    }
+
+    private static SimulatedCell simulate(SimulatedCell cell, long seed, Runnable atEachStep) {
         Random random = new Random(seed);
         List<String> jobs = new ArrayList<>();
         for (int step = 0; step < STEPS; step++) {
@@ -41,6 +45,7 @@
                 case 3 -> cell.cancel(jobs.get(random.nextInt(jobs.size())));
                 default -> {}
             }
+            atEachStep.run();
             cell.time.advance(STEP_MS);
         }
         cell.time.advance(SETTLE_MS);
@@ -69,6 +74,16 @@
             }
         }
 
+        @Test
+        void shouldStartNothingBeyondTheCapacityOfWorkersThatShrink() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = new SimulatedCell(seed, WORKERS, 0.2);
+                simulate(cell, seed, cell::resizeOne);
+
+                assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+            }
+        }
+
         @Test
         void shouldCompleteAllJobsOnceDisruptionsEnd() {
             for (long seed = 0; seed < 20; seed++) {
--- a/testing/src/main/java/org/lovagegrade/testing/platform/PlatformSite.java
+++ b/testing/src/main/java/org/lovagegrade/testing/platform/PlatformSite.java
@@ -216,6 +216,7 @@
     private ObjectNode settings(String name, String ip, boolean isReplica) {
         ObjectNode settings = JsonServer.object();
         settings.put("node_name", name).put("ip", ip).put("zone", "zone-a").put("bootstrap", true);
+        settings.put("heartbeat_ms", 300);
         ObjectNode listen = settings.putObject("listen");
         if (isReplica) {
             listen.put("control", ip + ":" + (firstPort + CONTROL));
@@ -231,6 +232,7 @@
                 .put("hold_max_ms", 3_000)
                 .put("stop_ms", 200)
                 .put("grace_s", 6)
+                .put("contact_ms", 3_000)
                 .put("status_s", 120);
         return settings;
     }
