--- a/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
@@ -21,7 +21,11 @@
     private final List<String> soundJobs = new ArrayList<>();
 
     private static SimulatedCell cell(long seed) {
-        SimulatedCell cell = new SimulatedCell(seed, WORKERS, 0);
+        return cell(seed, 0);
+    }
+
+    private static SimulatedCell cell(long seed, double faultRate) {
+        SimulatedCell cell = new SimulatedCell(seed, WORKERS, faultRate);
         cell.time.advance(3_000);
         return cell;
     }
@@ -86,6 +90,62 @@
             }
         }
 
+        @Test
+        void shouldHoldForAMemberOfAGang() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = cell(seed);
+
+                submitBoth(cell, 5, _step -> false);
+                TaskKey crashing = cell.makeCrashing(cell.submit(SimulatedCell.tasks(4, 1_500, true)), CRASHING_TASK);
+                submitBoth(cell, 5, _step -> false);
+                cell.time.advance(SETTLE_MS);
+
+                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, List.of(crashing));
+                soundJobs.clear();
+            }
+        }
+
+        @Test
+        void shouldHoldWhenATaskCrashesItsWorkersOnlyAfterAWhile() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = cell(seed);
+                cell.setCrashDelay(2_000);
+
+                List<TaskKey> crashing = submitBoth(cell, 10, step -> step == 5);
+                cell.time.advance(SETTLE_MS);
+
+                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
+                soundJobs.clear();
+            }
+        }
+
+        @Test
+        void shouldHoldWhenWorkersReturnOnlyAfterTheirLeaseHasExpired() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = cell(seed);
+                cell.setRebootTime(7_000);
+
+                List<TaskKey> crashing = submitBoth(cell, 10, step -> step == 5);
+                cell.time.advance(SETTLE_MS);
+
+                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
+                soundJobs.clear();
+            }
+        }
+
+        @Test
+        void shouldHoldWhileOrdersAreLostAndLate() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = cell(seed, 0.1);
+
+                List<TaskKey> crashing = submitBoth(cell, 10, step -> step == 5);
+                cell.time.advance(2 * SETTLE_MS);
+
+                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
+                soundJobs.clear();
+            }
+        }
+
         @Test
         void shouldHoldWhenOrdersToAFormerIncarnationAreAccepted() {
             for (long seed = 0; seed < SEEDS; seed++) {
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -53,7 +53,6 @@
     private static final int CRASH_LIMIT = 3;
 
     private static final int MAX_CRASHES = CRASH_LIMIT + 2;
-    private static final long CRASH_DELAY_MS = 10;
     private static final long REBOOT_MS = 3_000;
 
     final SimulatedTime time = new SimulatedTime();
@@ -76,6 +75,8 @@
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
     private int crashesWithRunsOfOtherJobs;
+    private long crashDelayMs = 10;
+    private long rebootMs = REBOOT_MS;
 
     SimulatedCell(long seed, int workerCount, double faultRate) {
         this(seed, workerCount, faultRate, DriverSafeguards.allEnabled());
@@ -123,6 +124,16 @@
         return task;
     }
 
+    /** From now on tasks that crash their workers do so this long after their start, or at once. */
+    void setCrashDelay(long delayMs) {
+        crashDelayMs = delayMs;
+    }
+
+    /** From now on workers take this long to start again after such a crash. */
+    void setRebootTime(long durationMs) {
+        rebootMs = durationMs;
+    }
+
     /** How many workers crashed under a crashing task while they also had runs of other jobs. */
     int crashesWithRunsOfOtherJobs() {
         return crashesWithRunsOfOtherJobs;
@@ -277,17 +288,30 @@
     /** Schedules the end of a run after a random time, as failed or done, or the crash of its worker. */
     void scheduleEnd(SimulatedWorker worker, RunKey run) {
         if (crashesByTask.containsKey(run.task())) {
-            if (random.nextBoolean()) {
+            if (crashDelayMs < ANSWER_TIMEOUT_MS && random.nextBoolean()) {
                 crashUnder(worker, run);
             } else {
-                time.after(CRASH_DELAY_MS, () -> crashUnder(worker, run));
+                time.after(crashDelayMs, () -> crashUnder(worker, run));
             }
             return;
         }
+        if (isGangWithCrashingMember(run)) {
+            return;
+        }
         RunEndProto how = random.nextInt(20) == 0 ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
         time.after(50 + random.nextInt(1_500), () -> worker.end(run, how));
     }
 
+    /** Such a gang never completes, since its members work only together. */
+    private boolean isGangWithCrashingMember(RunKey run) {
+        return job(run.task().job())
+                        .step(run.task().occurrence(), run.task().step())
+                        .spec()
+                        .getGang()
+                && crashesByTask.keySet().stream()
+                        .anyMatch(task -> task.stepName().equals(run.task().stepName()));
+    }
+
     private void crashUnder(SimulatedWorker worker, RunKey run) {
         if (!worker.isRunning(run.task())) {
             return;
@@ -295,7 +319,7 @@
         int crashes = crashesByTask.merge(run.task(), 1, Integer::sum);
         check("start budget", crashes <= MAX_CRASHES, () -> run + " crashed " + crashes + " workers");
         crashesWithRunsOfOtherJobs += worker.runsOtherJobsThan(run.task().job()) ? 1 : 0;
-        crash(worker.info().getId(), REBOOT_MS);
+        crash(worker.info().getId(), rebootMs);
     }
 
     ResourceVector resourcesOf(TaskKey task) {
