The product's own scheduler gives up a task that crashes its workers

Same class of fault as in job graphs: the loss of an attempt by the restart of its worker counted nothing, so a task that crashes the agents that run it was started 61 times in 60 s (RestartingWorkerTest, failing before).

A worker that restarts within a second of another one counts against no task. After two restarts the job shares no worker with others (one is kept free for it), after five it fails. Weighed and left: holding only restarts in isolation against a task, as job graphs do; here the first of several workers that lose power together can't be told from a single one when it is decided.

--- a/core/src/main/java/org/lovagegrade/core/Event.java
+++ b/core/src/main/java/org/lovagegrade/core/Event.java
@@ -64,8 +64,14 @@
      * @param held the attempts that may still be running
      * @param endedTasks the indexes of the completed tasks
      * @param attempts the number of attempts made so far, by task index
+     * @param restarts the restarts of workers so far, by task index
      */
-    record JobRestored(Job job, List<Attempt> held, List<Integer> endedTasks, List<Integer> attempts)
+    record JobRestored(
+            Job job,
+            List<Attempt> held,
+            List<Integer> endedTasks,
+            List<Integer> attempts,
+            List<WorkerRestarts> restarts)
             implements Event {}
 
     /**
--- a/core/src/main/java/org/lovagegrade/core/Reason.java
+++ b/core/src/main/java/org/lovagegrade/core/Reason.java
@@ -26,6 +26,8 @@
     TASK_FAILED("taskFailed"),
     /** The worker restarted and lost its attempts. */
     WORKER_RESTARTED("workerRestarted"),
+    /** The worker restarted just after another one, so that they had the fault in common. */
+    WORKERS_RESTARTED("workersRestarted"),
     /** The worker was unresponsive until the lease expired. */
     WORKER_SILENT("workerSilent"),
     /** The job was cancelled. */
@@ -48,6 +50,8 @@
     LARGER_THAN_WORKSPACE_LIMIT("largerThanTeamLimit"),
     /** The task failed too often on healthy workers. */
     FAILED_TOO_OFTEN("failedTooOften"),
+    /** Workers restarted again and again under a task of the job. */
+    CRASHES_WORKERS("crashesWorkers"),
     /** The job waits for free capacity. */
     NO_ROOM("noRoom"),
     /** The job waits because its workspace is at its limit. */
--- a/core/src/main/java/org/lovagegrade/core/internal/BestFit.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/BestFit.java
@@ -37,7 +37,7 @@
 
     private static WorkerState reservedWorker(JobState job) {
         for (WorkerState worker : job.reservedWorkers) {
-            if (worker.isUsable() && worker.free.covers(job.plannedPerTask)) {
+            if (worker.isUsable() && !worker.isClosedTo(job) && worker.free.covers(job.plannedPerTask)) {
                 return worker;
             }
         }
--- a/core/src/main/java/org/lovagegrade/core/internal/Cell.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Cell.java
@@ -234,7 +234,7 @@
 
     /** Whether a job may be placed on a worker, regardless of the worker's free capacity. */
     boolean isEligible(WorkerState worker, JobState job) {
-        if (!worker.isUsable() || job.excludedWorkers.contains(worker.spec.id())) {
+        if (!worker.isUsable() || job.excludedWorkers.contains(worker.spec.id()) || worker.isClosedTo(job)) {
             return false;
         }
         return worker.reservedFor == null
@@ -263,6 +263,9 @@
         task.job.placedTasks++;
         task.job.workspace.running.add(task);
         worker.tasks.add(task);
+        if (task.job.isolated) {
+            worker.isolatedFor = task.job;
+        }
         adjustUsage(worker, task, allocation);
     }
 
@@ -279,6 +282,9 @@
             task.job.workspace.stoppingUsage = task.job.workspace.stoppingUsage.minus(task.allocated);
         }
         worker.tasks.remove(task);
+        if (worker.tasks.isEmpty()) {
+            worker.isolatedFor = null;
+        }
         task.job.workspace.running.remove(task);
         task.job.placedTasks--;
         adjustUsage(worker, task, Resources.NONE.minus(task.allocated));
--- a/core/src/main/java/org/lovagegrade/core/internal/Engine.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Engine.java
@@ -235,6 +235,8 @@
         JobState job = newJob(restored.job(), nowMs);
         for (int i = 0; i < job.tasks.length; i++) {
             job.tasks[i].attemptNumber = restored.attempts().get(i);
+            job.tasks[i].restarts = restored.restarts().get(i);
+            job.isolated |= job.tasks[i].restarts.isSuspect();
         }
         for (int ended : restored.endedTasks()) {
             job.tasks[ended].phase = TaskPhase.ENDED;
--- a/core/src/main/java/org/lovagegrade/core/internal/JobState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/JobState.java
@@ -30,6 +30,9 @@
     boolean cancelled;
     boolean unschedulable;
     boolean failedPermanently;
+    /** Its tasks share no worker with other jobs, since workers restarted under them. */
+    boolean isolated;
+
     boolean blockedByCapacity;
     Reason waitReason = Reason.NOT_WAITING;
     long notBeforeMs;
--- a/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.core.internal;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.lovagegrade.core.Action;
@@ -14,12 +15,18 @@
     private static final int MAX_FAILURES = 16;
     private static final long INITIAL_BACKOFF_MS = 1_000;
     private static final int MAX_BACKOFF_SHIFT = 6;
+    /** Workers that restart within this time of each other have probably restarted for the same cause. */
+    private static final long COMMON_FAULT_MS = 1_000;
 
     private final Cell cell;
     private final DecisionLog log;
     private final Placement placement;
     private final Stopping stopping;
     private final Feasibility feasibility;
+    private Restart lastRestart;
+
+    /** The restart of a worker. */
+    private record Restart(WorkerState worker, long atMs) {}
 
     Lifecycle(Cell cell, DecisionLog log, Placement placement, Stopping stopping, Feasibility feasibility) {
         this.cell = cell;
@@ -95,11 +102,48 @@
     }
 
     void workerRestarted(WorkerState worker, long nowMs) {
+        boolean isCommonFault =
+                lastRestart != null && lastRestart.worker != worker && nowMs - lastRestart.atMs < COMMON_FAULT_MS;
+        Reason reason = isCommonFault ? Reason.WORKERS_RESTARTED : Reason.WORKER_RESTARTED;
+        lastRestart = new Restart(worker, nowMs);
         for (TaskState task : List.copyOf(worker.tasks)) {
-            log.aboutAttempt(Action.FAIL, task.attempt(), Reason.WORKER_RESTARTED);
+            log.aboutAttempt(Action.FAIL, task.attempt(), reason);
+            if (!isCommonFault) {
+                task.restarts = task.restarts.plus(nowMs - task.placedAtMs);
+            }
             cell.release(task);
             attemptLost(task, nowMs);
+            reviewRestarts(task, nowMs);
+        }
+    }
+
+    /** Isolates the job of a task that may crash its workers, or fails the job. */
+    private void reviewRestarts(TaskState task, long nowMs) {
+        JobState job = task.job;
+        if (job.cancelled || job.failedPermanently) {
+            return;
+        }
+        if (task.restarts.mustBeGivenUp()) {
+            failJob(job, Reason.CRASHES_WORKERS, nowMs);
+            placement.requeue(job, nowMs);
+            removeIfFinished(job);
+        } else if (task.restarts.isSuspect()) {
+            job.isolated = true;
+            reserveOwnWorker(job);
+        }
+    }
+
+    /** Keeps the eligible worker with the fewest tasks free for a job, unless it has one already. */
+    private void reserveOwnWorker(JobState job) {
+        if (!job.reservedWorkers.isEmpty()) {
+            return;
         }
+        cell.workers().stream()
+                .filter(worker -> worker.isUsable() && worker.reservedFor == null && worker.isolatedFor == null)
+                .filter(worker -> worker.spec.capacity().covers(job.plannedPerTask))
+                .min(Comparator.<WorkerState>comparingInt(worker -> worker.tasks.size())
+                        .thenComparing(WorkerState.BY_ID))
+                .ifPresent(worker -> cell.reserve(worker, job));
     }
 
     void usageReported(TaskState task, Resources used, long nowMs) {
@@ -143,14 +187,14 @@
             task.job.notBeforeMs = nowMs + (INITIAL_BACKOFF_MS << Math.min(backoffFailures - 1, MAX_BACKOFF_SHIFT));
         }
         if (task.failures >= MAX_FAILURES) {
-            failJob(task.job, nowMs);
+            failJob(task.job, Reason.FAILED_TOO_OFTEN, nowMs);
         }
     }
 
-    private void failJob(JobState job, long nowMs) {
+    private void failJob(JobState job, Reason reason, long nowMs) {
         job.failedPermanently = true;
-        job.waitReason = Reason.FAILED_TOO_OFTEN;
-        log.aboutJob(Action.FAIL, job, Reason.FAILED_TOO_OFTEN);
+        job.waitReason = reason;
+        log.aboutJob(Action.FAIL, job, reason);
         for (TaskState other : job.tasks) {
             stopping.request(other, Reason.CANCELLED, nowMs);
         }
--- a/core/src/main/java/org/lovagegrade/core/internal/Placement.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Placement.java
@@ -240,8 +240,10 @@
         for (WorkspaceState workspace : cell.workspaces()) {
             JobState job = workspace.waitingJobs.firstBlockedWithin(
                     worker.free,
-                    candidate ->
-                            !candidate.isUrgent() && !candidate.isService() && cell.fitsWorkspaceLimits(candidate));
+                    candidate -> !candidate.isUrgent()
+                            && !candidate.isService()
+                            && !worker.isClosedTo(candidate)
+                            && cell.fitsWorkspaceLimits(candidate));
             if (job != null) {
                 return job;
             }
--- a/core/src/main/java/org/lovagegrade/core/internal/TaskState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/TaskState.java
@@ -3,6 +3,7 @@
 import org.lovagegrade.core.Attempt;
 import org.lovagegrade.core.Reason;
 import org.lovagegrade.core.Resources;
+import org.lovagegrade.core.WorkerRestarts;
 
 /** The scheduler's state of one task. */
 final class TaskState {
@@ -11,6 +12,7 @@
     TaskPhase phase = TaskPhase.WAITING;
     int attemptNumber;
     int failures;
+    WorkerRestarts restarts = WorkerRestarts.NONE;
     WorkerState worker;
     Resources allocated = Resources.NONE;
     long placedAtMs;
--- a/core/src/main/java/org/lovagegrade/core/internal/WorkerState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WorkerState.java
@@ -17,6 +17,9 @@
     boolean unresponsive;
     boolean leaving;
     JobState reservedFor;
+    /** The isolated job whose tasks run here, if there is one. */
+    JobState isolatedFor;
+
     int indexKey = FreeCapacityIndex.NOT_INDEXED;
 
     WorkerState(Worker spec) {
@@ -24,6 +27,12 @@
         this.free = spec.capacity();
     }
 
+    /** Whether isolation of the job or of one that runs here forbids the job to share this worker. */
+    boolean isClosedTo(JobState job) {
+        boolean isOthersOwn = isolatedFor != null && isolatedFor != job;
+        return isOthersOwn || (job.isolated && tasks.stream().anyMatch(task -> task.job != job));
+    }
+
     /** Whether the worker accepts new attempts other than probes. */
     boolean isUsable() {
         return !unresponsive && !leaving && !health.isSuspect();
--- a/core/src/test/java/org/lovagegrade/core/RestartingWorkerTest.java
+++ b/core/src/test/java/org/lovagegrade/core/RestartingWorkerTest.java
@@ -35,5 +35,84 @@
 
             assertThat(cell.decisions(Action.PLACE, "crashing").size()).isAtMost(MAX_STARTS_OF_CRASHING_TASK);
         }
+
+        @Test
+        void shouldFailItsJob() {
+            cell.submit("crashing", "team", "batch", 2, 1).advanceTo(1);
+
+            restartWorkersOf("crashing", 60);
+
+            assertThat(reasonsOfFailure("crashing")).contains(Reason.CRASHES_WORKERS);
+            assertThat(cell.runningTasks("crashing")).isEqualTo(0);
+        }
+
+        @Test
+        void shouldShareItsWorkerWithNoOtherJobAfterTwoRestarts() {
+            cell.runDuration("other", 3_000)
+                    .submit("other", "team", "batch", 8, 1)
+                    .advanceTo(1);
+            cell.submit("crashing", "team", "batch", 1, 1).advanceTo(2);
+            restartWorkersOf("crashing", 2);
+            cell.submit("late", "team", "batch", 8, 1).advanceTo(cell.nowMs() + 10_000);
+
+            List<String> workersOfCrashing = workersOf("crashing");
+
+            assertThat(workersOfCrashing).hasSize(1);
+            assertThat(workersOf("late")).doesNotContain(workersOfCrashing.get(0));
+        }
+
+        @Test
+        void shouldKeepItsCountWhenAnotherSchedulerTakesOver() {
+            Resources size = Resources.of(Resources.MILLI_CORES_PER_CORE, 256, 0);
+            Job job = new Job("crashing", "team", "batch", 1, size, 0, 0);
+            cell.apply(new Event.JobRestored(job, List.of(), List.of(), List.of(3), List.of(new WorkerRestarts(4))))
+                    .advanceTo(1);
+
+            restartWorkersOf("crashing", 60);
+
+            assertThat(cell.decisions(Action.PLACE, "crashing")).hasSize(1);
+        }
+    }
+
+    @Nested
+    final class SoundJobs {
+        @Test
+        void shouldBeKeptWhenTheirWorkersRestartNowAndThen() {
+            cell.submit("service", "team", "batch", 1, 1).advanceTo(1);
+
+            for (int day = 0; day < 20; day++) {
+                cell.advanceTo(cell.nowMs() + 3_600_000);
+                restartWorkersOf("service", 1);
+            }
+
+            assertThat(cell.runningTasks("service")).isEqualTo(1);
+        }
+
+        @Test
+        void shouldBeKeptWhenAllWorkersRestartTogetherAgainAndAgain() {
+            for (int job = 0; job < 4; job++) {
+                cell.submit("sound" + job, "team", "batch", 1, 8);
+            }
+            cell.advanceTo(1);
+
+            for (int round = 0; round < 4; round++) {
+                for (int number = 0; number < 4; number++) {
+                    cell.worker("w" + number, "d" + number % 3, 8, 8_000);
+                }
+                cell.advanceTo(cell.nowMs() + 5_000);
+            }
+
+            for (int job = 0; job < 4; job++) {
+                assertThat(reasonsOfFailure("sound" + job)).doesNotContain(Reason.CRASHES_WORKERS);
+            }
+        }
+    }
+
+    private List<Reason> reasonsOfFailure(String job) {
+        return cell.decisions(Action.FAIL, job).stream().map(Decision::reason).toList();
+    }
+
+    private List<String> workersOf(String job) {
+        return cell.runningAttempts(job).stream().map(Attempt::worker).toList();
     }
 }
--- a/state/src/main/java/org/lovagegrade/state/machine/internal/JobStore.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/internal/JobStore.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.lovagegrade.core.Reason;
+import org.lovagegrade.core.WorkerRestarts;
 import org.lovagegrade.wire.proto.DecisionProto;
 import org.lovagegrade.wire.proto.JobProto;
 import org.lovagegrade.wire.proto.JobSpecProto;
@@ -139,9 +140,9 @@
         return switch (decision.getAction()) {
             case PLACE -> place(job, decision, atMs);
             case STOP -> ifAssigned(job, decision, task -> task.setStopping(true));
-            case END -> end(job, decision);
-            case FAIL -> decision.getTask() < 0 ? failJob(job, decision) : requeue(job, decision);
-            case LEASE_EXPIRED -> requeue(job, decision);
+            case END -> end(job, decision, atMs);
+            case FAIL -> decision.getTask() < 0 ? failJob(job, decision) : requeue(job, decision, atMs);
+            case LEASE_EXPIRED -> requeue(job, decision, atMs);
             case DECIDED_SET_ASIDE -> markUnschedulable(job, decision);
             default -> true;
         };
@@ -174,9 +175,9 @@
         return true;
     }
 
-    private boolean end(JobProto.Builder job, DecisionProto decision) {
+    private boolean end(JobProto.Builder job, DecisionProto decision, long atMs) {
         if (!decision.getReason().equals(Reason.COMPLETED.text())) {
-            return requeue(job, decision);
+            return requeue(job, decision, atMs);
         }
         boolean applied = ifAssigned(job, decision, task -> {
             release(job.getSpec().getId(), task);
@@ -190,15 +191,23 @@
         return applied;
     }
 
-    private boolean requeue(JobProto.Builder job, DecisionProto decision) {
+    private boolean requeue(JobProto.Builder job, DecisionProto decision, long atMs) {
         boolean applied = ifAssigned(job, decision, task -> {
             release(job.getSpec().getId(), task);
             task.setState(TaskStateProto.TASK_WAITING).setLastReason(decision.getReason());
+            if (decision.getReason().equals(Reason.WORKER_RESTARTED.text())) {
+                countRestart(task, atMs);
+            }
         });
         trackIfFinished(job);
         return applied;
     }
 
+    private static void countRestart(TaskProto.Builder task, long lostAtMs) {
+        WorkerRestarts before = new WorkerRestarts(task.getWorkerRestarts());
+        task.setWorkerRestarts(before.plus(lostAtMs - task.getPlacedAtMs()).count());
+    }
+
     private static boolean markUnschedulable(JobProto.Builder job, DecisionProto decision) {
         if (isFinished(job.getState())) {
             return false;
--- a/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
@@ -10,6 +10,7 @@
 import org.lovagegrade.core.Explanation;
 import org.lovagegrade.core.Policy;
 import org.lovagegrade.core.Scheduler;
+import org.lovagegrade.core.WorkerRestarts;
 import org.lovagegrade.core.lease.LeaseTable;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
@@ -171,9 +172,11 @@
         List<Attempt> assigned = new ArrayList<>();
         List<Integer> ended = new ArrayList<>();
         List<Integer> attempts = new ArrayList<>();
+        List<WorkerRestarts> restarts = new ArrayList<>();
         String id = job.getSpec().getId();
         for (TaskProto task : job.getTasksList()) {
             attempts.add(task.getAttempt());
+            restarts.add(new WorkerRestarts(task.getWorkerRestarts()));
             if (task.getState() == TaskStateProto.TASK_ENDED) {
                 ended.add(task.getIndex());
             } else if (task.getState() == TaskStateProto.TASK_HELD) {
@@ -185,7 +188,8 @@
         long submittedAtMs = Math.min(nowMs, job.getSpec().getSubmittedAtMs() - wallOffsetMs);
         scheduler.apply(
                 nowMs,
-                new Event.JobRestored(ProtoMapping.job(job.getSpec(), submittedAtMs), assigned, ended, attempts));
+                new Event.JobRestored(
+                        ProtoMapping.job(job.getSpec(), submittedAtMs), assigned, ended, attempts, restarts));
         if (!isUnfinished) {
             scheduler.apply(nowMs, new Event.JobCancelled(id));
         }
--- a/state/src/main/java/org/lovagegrade/state/scheduling/StatusQueries.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/StatusQueries.java
@@ -140,6 +140,7 @@
             case LARGER_THAN_WORKSPACE_LIMIT -> "set aside until its team's limit is raised: " + demand;
             case CANCELLED -> "it was cancelled; what runs is being stopped";
             case FAILED_TOO_OFTEN -> "its tasks failed too often on workers that run others well";
+            case CRASHES_WORKERS -> "workers restarted again and again under one of its tasks";
             default -> explanation.reason().text();
         };
     }
--- a/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
+++ b/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
@@ -200,6 +200,20 @@
             assertThat(machine.assignedTo("w2")).isEmpty();
         }
 
+        @Test
+        void shouldCountRestartsOfWorkersUnderATask() {
+            // when
+            decide(DecisionActionProto.FAIL, 0, 1, "w1", "workerRestarted");
+            decide(DecisionActionProto.PLACE, 0, 2, "w2", "fits");
+            decide(DecisionActionProto.FAIL, 0, 2, "w2", "workerRestarted");
+            decide(DecisionActionProto.PLACE, 0, 3, "w1", "fits");
+            decide(DecisionActionProto.FAIL, 0, 3, "w1", "workersRestarted");
+
+            // then
+            assertThat(machine.job("job").orElseThrow().getTasks(0).getWorkerRestarts())
+                    .isEqualTo(2);
+        }
+
         @Test
         void shouldIgnoreTheEndOfAnEarlierAttempt() {
             // given
