--- a/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
+++ b/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
@@ -53,7 +53,7 @@
     private static void trackRun(LogLine line, Map<String, String> workerByOpenRun) {
         switch (line.event()) {
             case "startDecided" -> workerByOpenRun.put(line.text("run"), line.text("worker"));
-            case "runEnded", "runGivenUp" -> workerByOpenRun.remove(line.text("run"));
+            case "runEnded", "runGivenUp", "runLost" -> workerByOpenRun.remove(line.text("run"));
             default -> {}
         }
     }
@@ -100,11 +100,20 @@
 
     private String finished(LogLine line) {
         long failed = count("runEnded", "how", "RUN_FAILED");
-        long lost = count("runGivenUp", "how", "RUN_LOST") + count("runEnded", "how", "RUN_LAPSED");
+        long lost = count("runLost", "", "") + count("runEnded", "how", "RUN_LAPSED");
         long refused = count("startRefused", "", "");
         return "finished as " + line.text("state") + " after " + line.text("tookMs") + " ms; " + failed
                 + " runs failed, " + lost + " were lost, " + workersLost + " workers were lost during its runs, "
-                + refused + " starts were refused";
+                + refused + " starts were refused" + reasonForGivingUp();
+    }
+
+    private String reasonForGivingUp() {
+        return lines.stream()
+                .filter(line -> line.event().equals("jobGivenUp"))
+                .findFirst()
+                .map(line -> "; it was given up, since " + line.text("crashes") + " workers crashed under its task "
+                        + line.text("task"))
+                .orElse("");
     }
 
     private long count(String event, String field, String value) {
--- a/cli/src/test/java/org/lovagegrade/cli/trace/TimelineTest.java
+++ b/cli/src/test/java/org/lovagegrade/cli/trace/TimelineTest.java
@@ -53,6 +53,24 @@
         }
     }
 
+    @Nested
+    final class GivenUpJobs {
+        @Test
+        void shouldNameTheTaskThatCrashedItsWorkers() {
+            addLine("{\"atMs\":1,\"event\":\"startDecided\",\"run\":\"" + JOB + ".0.0.0#1\",\"worker\":\"w1\"}");
+            addLine("{\"atMs\":2,\"event\":\"workerGone\",\"worker\":\"w1\"}");
+            addLine("{\"atMs\":3,\"event\":\"runLost\",\"run\":\"" + JOB + ".0.0.0#1\",\"worker\":\"w1\"}");
+            addLine("{\"atMs\":4,\"event\":\"jobGivenUp\",\"job\":\"" + JOB + "\",\"task\":\"" + JOB
+                    + ".0.0.0\",\"crashes\":3}");
+            addLine("{\"atMs\":5,\"event\":\"jobOver\",\"job\":\"" + JOB + "\",\"state\":\"GRAPH_FAILED\"}");
+
+            String cause = Timeline.of(JOB, lines).cause();
+
+            assertThat(cause).contains("1 were lost");
+            assertThat(cause).contains("given up, since 3 workers crashed under its task " + JOB + ".0.0.0");
+        }
+    }
+
     @Nested
     final class LostWorkers {
         private void addStartDecided(long atMs, String worker) {
