--- a/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import java.util.function.IntPredicate;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -20,10 +21,6 @@
 
     private final List<String> soundJobs = new ArrayList<>();
 
-    private static SimulatedCell cell(long seed) {
-        return cell(seed, 0);
-    }
-
     private static SimulatedCell cell(long seed, double faultRate) {
         SimulatedCell cell = new SimulatedCell(seed, WORKERS, faultRate);
         cell.time.advance(3_000);
@@ -44,17 +41,29 @@
         return crashing;
     }
 
-    private void assertThatOnlyCrashingJobsFailed(String scenario, SimulatedCell cell, List<TaskKey> crashing) {
-        assertWithMessage(scenario).that(cell.violations).isEmpty();
-        for (TaskKey task : crashing) {
-            assertWithMessage(scenario + ", " + task)
-                    .that(cell.job(task.job()).state())
-                    .isEqualTo(GraphStateProto.GRAPH_FAILED);
-        }
-        for (String job : soundJobs) {
-            assertWithMessage(scenario + ", " + job)
-                    .that(cell.job(job).state())
-                    .isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+    private void assertThatOnlyCrashingJobsFail(Function<SimulatedCell, List<TaskKey>> scenario) {
+        assertThatOnlyCrashingJobsFail(0, scenario);
+    }
+
+    /** Plays a scenario with each seed; it returns the crashing tasks, whose jobs alone have to fail. */
+    private void assertThatOnlyCrashingJobsFail(double faultRate, Function<SimulatedCell, List<TaskKey>> scenario) {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            soundJobs.clear();
+            SimulatedCell cell = cell(seed, faultRate);
+            List<TaskKey> crashing = scenario.apply(cell);
+            cell.time.advance(SETTLE_MS);
+
+            assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+            for (TaskKey task : crashing) {
+                assertWithMessage("seed " + seed + ", " + task)
+                        .that(cell.job(task.job()).state())
+                        .isEqualTo(GraphStateProto.GRAPH_FAILED);
+            }
+            for (String job : soundJobs) {
+                assertWithMessage("seed " + seed + ", " + job)
+                        .that(cell.job(job).state())
+                        .isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+            }
         }
     }
 
@@ -62,102 +71,62 @@
     final class StartBudget {
         @Test
         void shouldFailAJobWhoseTaskCrashesEachOfItsWorkers() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
-
-                List<TaskKey> crashing = submitBoth(cell, 20, step -> step % 10 == 5);
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
-                soundJobs.clear();
-            }
+            assertThatOnlyCrashingJobsFail(cell -> submitBoth(cell, 20, step -> step % 10 == 5));
         }
 
         @Test
         void shouldHoldWhenTheLeaderChangesAfterEachCrash() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
-
+            assertThatOnlyCrashingJobsFail(cell -> {
                 List<TaskKey> crashing = submitBoth(cell, 5, step -> step == 2);
                 for (int election = 0; election < 10; election++) {
                     cell.elect();
                     cell.time.advance(2_500);
                 }
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
-                soundJobs.clear();
-            }
+                return crashing;
+            });
         }
 
         @Test
         void shouldHoldForAMemberOfAGang() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
-
+            assertThatOnlyCrashingJobsFail(cell -> {
                 submitBoth(cell, 5, _step -> false);
                 TaskKey crashing = cell.makeCrashing(cell.submit(SimulatedCell.tasks(4, 1_500, true)), CRASHING_TASK);
                 submitBoth(cell, 5, _step -> false);
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, List.of(crashing));
-                soundJobs.clear();
-            }
+                return List.of(crashing);
+            });
         }
 
         @Test
         void shouldHoldWhenATaskCrashesItsWorkersOnlyAfterAWhile() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
+            assertThatOnlyCrashingJobsFail(cell -> {
                 cell.setCrashDelay(2_000);
-
-                List<TaskKey> crashing = submitBoth(cell, 10, step -> step == 5);
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
-                soundJobs.clear();
-            }
+                return submitBoth(cell, 10, step -> step == 5);
+            });
         }
 
         @Test
         void shouldHoldWhenWorkersReturnOnlyAfterTheirLeaseHasExpired() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
+            assertThatOnlyCrashingJobsFail(cell -> {
                 cell.setRebootTime(7_000);
-
-                List<TaskKey> crashing = submitBoth(cell, 10, step -> step == 5);
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
-                soundJobs.clear();
-            }
+                return submitBoth(cell, 10, step -> step == 5);
+            });
         }
 
         @Test
         void shouldHoldWhileOrdersAreLostAndLate() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed, 0.1);
-
+            assertThatOnlyCrashingJobsFail(0.1, cell -> {
                 List<TaskKey> crashing = submitBoth(cell, 10, step -> step == 5);
-                cell.time.advance(2 * SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
-                soundJobs.clear();
-            }
+                cell.time.advance(SETTLE_MS);
+                return crashing;
+            });
         }
 
         @Test
         void shouldHoldWhenOrdersToAFormerIncarnationAreAccepted() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
+            assertThatOnlyCrashingJobsFail(cell -> {
                 cell.acceptOrdersToFormerIncarnations();
-
-                List<TaskKey> crashing = submitBoth(cell, 10, step -> step == 5);
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
-                soundJobs.clear();
-            }
+                return submitBoth(cell, 10, step -> step == 5);
+            });
         }
     }
 
@@ -165,36 +134,26 @@
     final class SoundWork {
         @Test
         void shouldBeKeptWhenWorkersCrashTogetherBesideCrashingTasks() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
-
+            assertThatOnlyCrashingJobsFail(cell -> {
                 List<TaskKey> crashing = new ArrayList<>();
                 for (int round = 0; round < 4; round++) {
                     crashing.addAll(submitBoth(cell, 10, step -> step % 5 == 2));
                     cell.crashTogether(3);
                 }
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, crashing);
-                soundJobs.clear();
-            }
+                return crashing;
+            });
         }
 
         @Test
         void shouldBeKeptWhenItLosesItsWorkersManyTimesForOtherReasons() {
-            for (long seed = 0; seed < SEEDS; seed++) {
-                SimulatedCell cell = cell(seed);
-
+            assertThatOnlyCrashingJobsFail(cell -> {
                 for (int round = 0; round < 10; round++) {
                     submitBoth(cell, 3, _step -> false);
                     cell.crashTogether(WORKERS / 2);
                     cell.time.advance(300);
                 }
-                cell.time.advance(SETTLE_MS);
-
-                assertThatOnlyCrashingJobsFailed("seed " + seed, cell, List.of());
-                soundJobs.clear();
-            }
+                return List.of();
+            });
         }
     }
 
@@ -202,7 +161,7 @@
     final class Damage {
         @Test
         void shouldLoseNoOtherJobsRunsAfterTheFirstCrash() {
-            SimulatedCell cell = cell(1);
+            SimulatedCell cell = cell(1, 0);
             List<TaskKey> crashing = submitBoth(cell, 8, step -> step == 2);
 
             cell.time.advance(SETTLE_MS);
