--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -70,7 +70,7 @@
     private int nextJob;
     private long lastCommitMs;
     private boolean acceptsExpiredStarts;
-    private boolean keepsIdsOnly;
+    private boolean comparesIdsOnly;
     /** The tasks that crash each worker that starts them, and how often each has done so. */
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
@@ -114,7 +114,7 @@
 
     /** From now on a worker that has started again accepts orders to its former incarnation, since its id is the same. */
     void acceptOrdersToFormerIncarnations() {
-        keepsIdsOnly = true;
+        comparesIdsOnly = true;
     }
 
     /** From now on the task crashes each worker that starts it. */
@@ -403,7 +403,7 @@
         SimulatedWorker worker = workers.get(to.getId());
         if (!worker.isUp()) {
             result.accept(new OrderOutcome.NotSent());
-        } else if (!keepsIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
+        } else if (!comparesIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
             result.accept(new OrderOutcome.Refused(OrderRefusal.OTHER_LIFE));
         } else {
             OrderOutcome outcome = order.executeOn(worker, isLate);
@@ -420,7 +420,7 @@
         time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
             SimulatedWorker worker = workers.get(to.getId());
             boolean isReachable = worker.isUp() && !partitioned.contains(to.getId());
-            if (isReachable && !keepsIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
+            if (isReachable && !comparesIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
             } else if (isReachable) {
                 result.accept(worker.renew(order));
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -43,7 +43,7 @@
     private long lastEndBeforeExpiry;
 
     private boolean isUp = true;
-    /** Before this time a start may exceed the capacity, since the leader need not know yet that it has shrunk. */
+    /** Before this time a start may exceed a changed capacity, since the leader need not know it yet; 0 if unchanged. */
     private long capacityBindsFromMs;
 
     SimulatedWorker(
@@ -134,9 +134,10 @@
         running.put(task, run);
         used = used.plus(cell.resourcesOf(task));
         boolean isWithinCapacity = used.fitsInto(ResourceVector.of(info.getCapacity()));
+        boolean mayExceedCapacity = capacityBindsFromMs > 0 && (isLate || time.nowMs() < capacityBindsFromMs);
         cell.check(
                 "capacity",
-                isWithinCapacity || isLate || time.nowMs() < capacityBindsFromMs,
+                isWithinCapacity || mayExceedCapacity,
                 () -> info.getId() + " uses " + used + " after " + order.run());
         cell.scheduleEnd(this, order.run());
         return new OrderOutcome.Done(clockMs());
