Count tasks per worker only for steps that limit them

The isolation of suspects had made each plan count every run of the fleet by its step; only steps with a limit ever read the count, and only they were counted before. Behaviour is the same. The 109 tests of graph pass; nothing was measured.

--- a/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
@@ -60,7 +60,9 @@
      */
     public void addRun(StepRecord step) {
         runs++;
-        tasksByStep.merge(step.name(), 1, Integer::sum);
+        if (step.spec().getMostPerWorker() > 0) {
+            tasksByStep.merge(step.name(), 1, Integer::sum);
+        }
     }
 
     int runs() {
