Evacuate a failure domain of a fleet that runs job graphs

Operators had no way to empty a failure domain without stopping what runs there. The leader plans nothing there, withdraws starts that no worker has confirmed, and sends starts only while it holds the leader lease.

An order carries the version of the last order that its sender knew, so that a delayed copy doesn't revoke a later one.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.lovagegrade.graph.machine.GraphStateListener;
 import org.lovagegrade.graph.machine.GraphStateMachine;
@@ -36,6 +37,7 @@
     private Leadership leadership;
     private GraphLeader leader;
     private CallerRequestHandler callerHandler;
+    private volatile Set<String> configuredDomains = Set.of();
 
     /**
      * Creates an application without jobs and workers.
@@ -65,6 +67,15 @@
         this.planOrder = planOrder;
     }
 
+    /**
+     * Sets the failure domains that exist although they may have no workers. May be called on any thread.
+     *
+     * @param failureDomains their names; if there are none, orders about unknown failure domains are accepted
+     */
+    public void setConfiguredDomains(Set<String> failureDomains) {
+        configuredDomains = Set.copyOf(failureDomains);
+    }
+
     @Override
     public void restore(ByteString snapshot) {
         machine.restore(snapshot);
@@ -96,6 +107,8 @@
                         timings,
                         clock,
                         metrics,
+                        worker -> machine.evacuations().isEvacuated(worker.getFailureDomain()),
+                        newLeadership::holdsLease,
                         DriverSafeguards.allEnabled()),
                 newLeadership.term(),
                 nowMs);
@@ -133,6 +146,8 @@
                         GraphCommandProto.newBuilder().setBarrier(true),
                         barrier -> answer.accept(
                                 barrier.getStatus() == GraphStatusProto.GRAPH_OK ? configurationReply() : barrier));
+            case EVACUATE -> evacuationHandler().order(graphRequest.getEvacuate(), answer);
+            case READ_EVACUATIONS -> answer.accept(evacuationHandler().orders());
             case WORKER ->
                 leader.handleWorkerReport(
                         graphRequest.getWorker(),
@@ -173,6 +188,10 @@
                 .build());
     }
 
+    private EvacuationRequestHandler evacuationHandler() {
+        return new EvacuationRequestHandler(machine, configuredDomains, this::proposeWithReply, metrics);
+    }
+
     private GraphReplyProto configurationReply() {
         return GraphReplyProto.newBuilder()
                 .setDocument(DocumentReplyProto.newBuilder()
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.lovagegrade.graph.advice.AdviceBroker;
 import org.lovagegrade.graph.advice.Verdict;
+import org.lovagegrade.graph.machine.Evacuation;
 import org.lovagegrade.graph.machine.GraphStateListener;
 import org.lovagegrade.graph.machine.GraphStateMachine;
 import org.lovagegrade.graph.machine.JobRecord;
@@ -274,6 +275,12 @@
         health.forgetWorker(worker.info().getId());
     }
 
+    @Override
+    public void evacuationChanged(Evacuation evacuation) {
+        dirty = true;
+        EvacuationEffect.of(evacuation, driver.sessions()).log();
+    }
+
     @Override
     public void configurationChanged() {
         dirty = true;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -53,8 +53,10 @@
                 if (tracker.stopRequested) {
                     stop(session, tracker);
                 } else if (session.isOverCapacity()) {
-                    withdrawStart(session, tracker);
-                } else if (isIncarnationConfirmed(session, tracker)) {
+                    withdrawStart(session, tracker, WithdrawalReason.OVER_CAPACITY);
+                } else if (isEvacuated(session)) {
+                    withdrawStart(session, tracker, WithdrawalReason.EVACUATED);
+                } else if (isIncarnationConfirmed(session, tracker) && mayStart()) {
                     start(session, tracker, nowMs);
                 }
             }
@@ -67,6 +69,17 @@
         }
     }
 
+    private boolean isEvacuated(WorkerSession session) {
+        return dependencies.safeguards().withdrawEvacuatedStarts()
+                && dependencies.isEvacuated().test(session.info());
+    }
+
+    /** A leader that was paused may have been deposed, and its successor may have committed an evacuation. */
+    private boolean mayStart() {
+        return !dependencies.safeguards().requireLeaseToStart()
+                || dependencies.holdsLease().getAsBoolean();
+    }
+
     /**
      * Whether the worker has listed its runs since the last failure. Until then it may be another incarnation under the
      * same id, which would begin a run that the former one has lost, and perhaps crash under it as well.
@@ -139,18 +152,22 @@
             case OUTDATED -> verify(tracker, nowMs);
             case UNHEALTHY -> {
                 session.startsPausedUntilMs = nowMs + START_PAUSE_MS;
-                withdrawStart(session, tracker);
+                withdrawStart(session, tracker, WithdrawalReason.REFUSED);
             }
             case NO_ROOM, INVALID, TOO_LATE -> {
                 session.startsPausedUntilMs = nowMs + START_PAUSE_MS;
-                withdrawStart(session, tracker);
+                withdrawStart(session, tracker, WithdrawalReason.REFUSED);
             }
-            case NO_TICKET -> withdrawStart(session, tracker);
+            case NO_TICKET -> withdrawStart(session, tracker, WithdrawalReason.REFUSED);
         }
     }
 
     /** Frees the task of a start that was refused or must not be sent, unless an earlier copy of the order may still arrive. */
-    private void withdrawStart(WorkerSession session, RunTracker tracker) {
+    private void withdrawStart(WorkerSession session, RunTracker tracker, WithdrawalReason reason) {
+        if (!tracker.withdrawn) {
+            tracker.withdrawn = true;
+            reportWithdrawal(session, tracker, reason);
+        }
         if (tracker.inDoubt) {
             stop(session, tracker);
         } else {
@@ -158,6 +175,16 @@
         }
     }
 
+    private void reportWithdrawal(WorkerSession session, RunTracker tracker, WithdrawalReason reason) {
+        dependencies.metrics().count(WorkerDriver.WITHDRAWN_STARTS, reason);
+        Log.event("startWithdrawn")
+                .with("run", tracker.run.key().toString())
+                .with("worker", session.id())
+                .with("reason", reason.name())
+                .with("inDoubt", tracker.inDoubt)
+                .info();
+    }
+
     private static void verify(RunTracker tracker, long nowMs) {
         tracker.phase = RunTracker.Phase.VERIFYING;
         tracker.listingValidFromMs = nowMs;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -34,6 +34,8 @@
     boolean inDoubt;
 
     boolean stopRequested;
+    /** The start was withdrawn, which counts once however often its stop is sent. */
+    boolean withdrawn;
     /** A start was sent in this term, or may have been sent in an earlier one. */
     boolean orderSent;
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.WorkerRecord;
@@ -34,6 +36,7 @@
  */
 final class WorkerDriver {
     static final String ORDER_REFUSALS = "lovagegrade_order_refusals";
+    static final String WITHDRAWN_STARTS = "lovagegrade_withdrawn_starts";
     private static final String LOST_RUNS = "lovagegrade_lost_runs";
     /** How long a worker may hold a listing back while no run ends; each listing costs one message. */
     private static final long LISTING_WAIT_MS = 1_500;
@@ -58,6 +61,7 @@
     private final Clock clock;
     private final Metrics metrics;
     private final DriverSafeguards safeguards;
+    private final Predicate<WorkerProto> isEvacuated;
     private final DriverTerm term;
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
@@ -71,8 +75,10 @@
         this.metrics = dependencies
                 .metrics()
                 .declare(ORDER_REFUSALS, OrderRefusal.class)
+                .declare(WITHDRAWN_STARTS, WithdrawalReason.class)
                 .declare(LOST_RUNS, LossCause.class);
         this.safeguards = dependencies.safeguards();
+        this.isEvacuated = dependencies.isEvacuated();
         this.term = new DriverTerm(term, nowMs);
         this.outcomeProposer =
                 new OutcomeProposer(dependencies.proposer(), new CrashAttribution(sessions::values, clock));
@@ -94,6 +100,8 @@
      * @param timings the deployment's timings
      * @param clock a monotonic clock
      * @param metrics counts refusals
+     * @param isEvacuated whether nothing may be started on a worker, since its failure domain is evacuated
+     * @param holdsLease whether this replica still leads, so that it knows all committed evacuations
      * @param safeguards the safeguards in force for runs in doubt
      */
     record Dependencies(
@@ -103,6 +111,8 @@
             LeaderTimings timings,
             Clock clock,
             Metrics metrics,
+            Predicate<WorkerProto> isEvacuated,
+            BooleanSupplier holdsLease,
             DriverSafeguards safeguards) {}
 
     void close() {
@@ -121,7 +131,7 @@
     /** Whether runs may be started on a worker, which also takes a recent report of its capacity. */
     boolean isUsable(WorkerSession session, long nowMs) {
         boolean isReportRecent = nowMs - session.lastHeartbeatMs <= timings.maxReportAgeMs();
-        return isReportRecent && session.isUsable(nowMs);
+        return isReportRecent && session.isUsable(nowMs) && !isEvacuated.test(session.info());
     }
 
     /**
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateListener.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateListener.java
@@ -16,7 +16,7 @@
 
     /**
      * A proposed start was rejected, since its job, task or worker, or those of another member of its gang, had changed
-     * in the meantime.
+     * in the meantime, or the worker's failure domain had been evacuated.
      *
      * @param key the run that doesn't start
      */
@@ -65,6 +65,13 @@
      */
     default void workerRemoved(WorkerRecord worker) {}
 
+    /**
+     * A failure domain was evacuated or returned to service.
+     *
+     * @param evacuation the order
+     */
+    default void evacuationChanged(Evacuation evacuation) {}
+
     /** A new version of the configuration is in force. */
     default void configurationChanged() {}
 }
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
@@ -14,6 +14,8 @@
 import org.lovagegrade.wire.proto.DocumentReplyProto;
 import org.lovagegrade.wire.proto.EndProto;
 import org.lovagegrade.wire.proto.EndsProto;
+import org.lovagegrade.wire.proto.EvacuationOrderProto;
+import org.lovagegrade.wire.proto.EvacuationReplyProto;
 import org.lovagegrade.wire.proto.FleetDocumentProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
 import org.lovagegrade.wire.proto.GraphProto;
@@ -40,6 +42,7 @@
     private final JobRegistry jobs;
     private final RunRegistry runs = new RunRegistry();
     private final Map<String, QueueProto> knownQueues = new TreeMap<>();
+    private final Evacuations evacuations = new Evacuations();
     private FleetConfiguration configuration;
     private GraphStateListener listener = GraphStateListener.NONE;
     private long clockMs;
@@ -133,6 +136,15 @@
         return Optional.ofNullable(knownQueues.get(name));
     }
 
+    /**
+     * The failure domains in which nothing may be started.
+     *
+     * @return the last orders about all failure domains
+     */
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
     /**
      * Applies a command.
      *
@@ -152,6 +164,9 @@
             case CANCEL -> {
                 return cancel(command.getCancel(), command.hasGiveUp());
             }
+            case EVACUATION -> {
+                return evacuate(command.getEvacuation());
+            }
             case START -> applyStarts(command.getStart());
             case END -> applyEnds(command.getEnd());
             case WORKER -> applyWorker(command.getWorker());
@@ -191,6 +206,25 @@
                 .build();
     }
 
+    // --- evacuations
+
+    private GraphReplyProto evacuate(EvacuationOrderProto order) {
+        Evacuations.Outcome outcome = evacuations.apply(order, clockMs);
+        EvacuationReplyProto.Builder reply = EvacuationReplyProto.newBuilder();
+        evacuations.last(order.getFailureDomain()).ifPresent(last -> {
+            reply.addEvacuations(last.toProto());
+            if (outcome == Evacuations.Outcome.CHANGED) {
+                listener.evacuationChanged(last);
+            }
+        });
+        if (outcome == Evacuations.Outcome.SUPERSEDED) {
+            reply.setReason("another order about '" + order.getFailureDomain() + "' was committed in the meantime");
+        }
+        return GraphReplyProto.newBuilder()
+                .setEvacuation(reply.setAccepted(outcome != Evacuations.Outcome.SUPERSEDED))
+                .build();
+    }
+
     // --- jobs
 
     private GraphReplyProto submit(GraphProto graph) {
@@ -268,6 +302,7 @@
                 && start.getRun() > task.run
                 && worker.isPresent()
                 && !worker.get().info.getDraining()
+                && !evacuations.isEvacuated(worker.get().info.getFailureDomain())
                 && !runs.runs().containsKey(new RunKey(key, task.run));
     }
 
@@ -431,6 +466,7 @@
             snapshot.setDocument(configuration.proto());
         }
         snapshot.addAllKnownQueues(knownQueues.values());
+        evacuations.writeTo(snapshot);
         jobs.writeTo(snapshot);
         runs.writeTo(snapshot);
         return snapshot.build().toByteString();
@@ -445,6 +481,7 @@
     public void restore(ByteString data) {
         GraphSnapshotProto snapshot = parse(data);
         knownQueues.clear();
+        evacuations.restore(snapshot);
         clockMs = snapshot.getClockMs();
         configuration = null;
         snapshot.getKnownQueuesList().forEach(queue -> knownQueues.put(queue.getName(), queue));
--- a/graph/src/test/java/org/lovagegrade/graph/leader/GraphApplicationTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/GraphApplicationTest.java
@@ -56,6 +56,11 @@
             return 1;
         }
 
+        @Override
+        public boolean holdsLease() {
+            return true;
+        }
+
         @Override
         public String leader() {
             return leader;
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -170,6 +170,8 @@
                         new LeaderTimings(LEASE_MS, 200, HEARTBEAT_MS, CONTACT_MS),
                         time,
                         Metrics.create(),
+                        worker -> machine.evacuations().isEvacuated(worker.getFailureDomain()),
+                        () -> term == ownTerm,
                         safeguards),
                 ownTerm,
                 time.nowMs());
--- a/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
@@ -112,13 +112,13 @@
 
         @Test
         void shouldBeDetectedWhenLeaseExpiryIsNotAwaited() {
-            assertThat(isDetectedWithin(SEEDS, new DriverSafeguards(false, true)))
+            assertThat(isDetectedWithin(SEEDS, new DriverSafeguards(false, true, true, true)))
                     .isTrue();
         }
 
         @Test
         void shouldBeDetectedWhenInDoubtRunsAreNotStopped() {
-            assertThat(isDetectedWithin(SEEDS, new DriverSafeguards(true, false)))
+            assertThat(isDetectedWithin(SEEDS, new DriverSafeguards(true, false, true, true)))
                     .isTrue();
         }
     }
--- a/state/src/main/java/org/lovagegrade/state/replica/Leadership.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Leadership.java
@@ -37,6 +37,14 @@
      */
     long term();
 
+    /**
+     * Whether this replica is the only leader at this moment, so that it has applied every committed command. Must be
+     * called on the replica's thread.
+     *
+     * @return true while its leader lease is valid
+     */
+    boolean holdsLease();
+
     /**
      * Returns the id of the leader, as this replica records it.
      *
--- a/state/src/main/java/org/lovagegrade/state/replica/Replica.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/Replica.java
@@ -330,6 +330,11 @@
             return raft.term();
         }
 
+        @Override
+        public boolean holdsLease() {
+            return raft.holdsLease(clock.nowMs());
+        }
+
         @Override
         public String leader() {
             return raft.leader();
