Order cost: waiting work by what its delay costs

Under contention the order urgency serves late work of a high priority before work of a lower one that could still be in time, with raw run time estimates.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -31,6 +31,7 @@
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.overload.CostOfDelay;
 import org.lovagegrade.wire.proto.AdvicePollProto;
 import org.lovagegrade.wire.proto.AdviceQuestionProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
@@ -60,6 +61,7 @@
     private final AdviceBroker adviceBroker = new AdviceBroker();
     private final WorkerHealth health = new WorkerHealth();
     private final CrashingJobs crashingJobs;
+    private final WorkAccount workAccount;
     /** Starts that were proposed to the log and are not committed yet. */
     private final Map<RunKey, Placement> proposedStarts = new HashMap<>();
     /** Whether anything that affects placement has changed since the last plan. */
@@ -84,6 +86,7 @@
         this.wallClock = wallClock;
         this.planOrder = planOrder;
         this.crashingJobs = new CrashingJobs(proposer, metrics);
+        this.workAccount = new WorkAccount(machine);
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
     }
@@ -193,6 +196,7 @@
         proposedStarts.remove(run.key());
         long nowMs = clock.nowMs();
         String step = run.step().name();
+        workAccount.runStarted(run, nowMs);
         driver.runStarted(run, adviceBroker.ticket(step, run.worker()), nowMs);
         dirty = true;
     }
@@ -206,6 +210,7 @@
     @Override
     public void runEnded(RunRecord run, RunEndProto how) {
         driver.runEnded(run, how);
+        workAccount.runEnded(run, how, clock.nowMs());
         dirty = true;
         if (how == RunEndProto.RUN_DONE) {
             health.runCompleted(run.worker());
@@ -239,6 +244,7 @@
     @Override
     public void jobAccepted(JobRecord job) {
         dirty = true;
+        workAccount.jobAccepted(job);
         Log.event("jobAccepted")
                 .with("job", job.id())
                 .with("queue", job.graph().getQueue())
@@ -253,6 +259,7 @@
         job.occurrences().forEach(steps -> steps.forEach(step -> adviceBroker.forgetStep(step.name())));
         health.forgetJob(job.id());
         crashingJobs.forget(job);
+        workAccount.jobFinished(job);
         Log.event("jobOver")
                 .with("job", job.id())
                 .with("state", job.state().name())
@@ -352,8 +359,9 @@
                 long dueAtMs = job.dueAtMs(occurrence);
                 if (dueAtMs <= wallMs || job.graph().getOccurrences() == 0) {
                     Urgency urgency = Urgency.of(job, occurrence, queue.get(), dueAtMs, wallMs);
+                    CostOfDelay cost = workAccount.costOfDelay(job, occurrence, queue.get(), wallMs);
                     for (StepRecord step : job.occurrences().get(occurrence)) {
-                        demandOf(step, queue.get(), urgency, dueAtMs).ifPresent(demands::add);
+                        demandOf(step, queue.get(), urgency, dueAtMs, cost).ifPresent(demands::add);
                     }
                 }
             }
@@ -372,7 +380,8 @@
         return weight > 0 ? used / weight : Double.MAX_VALUE;
     }
 
-    private Optional<StepDemand> demandOf(StepRecord step, QueueProto queue, Urgency urgency, long dueAtMs) {
+    private Optional<StepDemand> demandOf(
+            StepRecord step, QueueProto queue, Urgency urgency, long dueAtMs, CostOfDelay cost) {
         if (step.isDone() || step.waitingTasks() == 0 || !step.isReady()) {
             return Optional.empty();
         }
@@ -394,6 +403,7 @@
                         waiting,
                         urgency,
                         dueAtMs,
+                        cost,
                         index -> step.tasks().get(index).crashHistory().isSuspect(),
                         index -> health.workersToAvoid(step.key(index))));
     }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/PlanOrder.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/PlanOrder.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
+import org.lovagegrade.overload.CostOrder;
 
 /**
  * The order in which a plan assigns workers to steps.
@@ -33,6 +34,15 @@
                 .thenComparingLong(StepDemand::dueAtMs);
     }
 
+    /**
+     * Orders by what a delay costs, so that work that can still meet its objective goes first, whatever its priority.
+     *
+     * @return the order under contention
+     */
+    static PlanOrder cost() {
+        return _usagePerWeight -> Comparator.comparing(StepDemand::cost, CostOrder.ascending());
+    }
+
     /**
      * Orders by due time, regardless of priority.
      *
@@ -56,12 +66,13 @@
     /**
      * Finds an order by its name.
      *
-     * @param name {@code urgency}, {@code arrival} or {@code fair-share}
+     * @param name {@code urgency}, {@code cost}, {@code arrival} or {@code fair-share}
      * @return the order
      * @throws IllegalArgumentException if no order has this name
      */
     static PlanOrder named(String name) {
-        Map<String, PlanOrder> known = Map.of(DEFAULT_NAME, urgency(), "arrival", arrival(), "fair-share", fairShare());
+        Map<String, PlanOrder> known =
+                Map.of(DEFAULT_NAME, urgency(), "cost", cost(), "arrival", arrival(), "fair-share", fairShare());
         PlanOrder order = known.get(name);
         if (order == null) {
             throw new IllegalArgumentException(
--- a/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
@@ -5,6 +5,7 @@
 import java.util.function.IntFunction;
 import java.util.function.IntPredicate;
 import org.lovagegrade.graph.machine.StepRecord;
+import org.lovagegrade.overload.CostOfDelay;
 import org.lovagegrade.wire.proto.QueueProto;
 
 /**
@@ -15,6 +16,7 @@
  * @param waiting the numbers of the tasks that wait and have no pending start
  * @param urgency whether the occurrence can still meet its objective
  * @param dueAtMs when the occurrence became due, in milliseconds since 1970
+ * @param cost what it costs to let the occurrence wait
  * @param isSuspect whether a task, by its number, may crash its worker and must not share it with other jobs
  * @param avoidedWorkers the ids of workers that a task should avoid while others have free capacity, by its number
  */
@@ -24,6 +26,7 @@
         List<Integer> waiting,
         Urgency urgency,
         long dueAtMs,
+        CostOfDelay cost,
         IntPredicate isSuspect,
         IntFunction<Set<String>> avoidedWorkers) {
     boolean needsTicket() {
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlanOrderTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlanOrderTest.java
@@ -11,6 +11,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.lovagegrade.graph.machine.GraphStateMachine;
+import org.lovagegrade.overload.CostOfDelay;
+import org.lovagegrade.overload.Objective;
+import org.lovagegrade.overload.RemainingWork;
+import org.lovagegrade.overload.WorkItem;
 import org.lovagegrade.wire.proto.FleetDocumentProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
 import org.lovagegrade.wire.proto.GraphProto;
@@ -44,10 +48,24 @@
                 List.of(0),
                 urgency,
                 dueAtMs,
+                cost(job, priority, urgency, workspace, dueAtMs),
                 _index -> false,
                 _index -> Set.of()));
     }
 
+    /** The cost at time 1,000 of work of 100 ms that can, or can't, meet its objective. */
+    private static CostOfDelay cost(String job, int priority, Urgency urgency, String workspace, long dueAtMs) {
+        long objectiveMs = urgency == Urgency.IN_TIME ? 10_000 : 500;
+        return CostOfDelay.of(
+                WorkItem.of(
+                        job,
+                        workspace,
+                        priority,
+                        Objective.within(objectiveMs).from(dueAtMs),
+                        RemainingWork.of(100, 100)),
+                1_000);
+    }
+
     private List<String> ordered(String name) {
         Map<String, Double> usagePerWeight = Map.of("busy", 2.0, "idle", 0.5);
         return demands.stream()
@@ -63,6 +81,16 @@
                 .inOrder();
     }
 
+    /** Guards against urgent work that is late already taking the capacity of work that can still be in time. */
+    @Test
+    void shouldPutInTimeBeforeLateWhateverThePriorityWithCost() {
+        addDemand("urgent-late", 0, Urgency.LATE, 50, "busy");
+
+        assertThat(ordered("cost"))
+                .containsExactly("last-urgent", "middle", "urgent-late", "early-late")
+                .inOrder();
+    }
+
     @Test
     void shouldOrderByDueTimeAloneWithArrival() {
         assertThat(ordered("arrival"))
@@ -80,6 +108,6 @@
     @Test
     void shouldRejectUnknownName() {
         IllegalArgumentException error = assertThrows(IllegalArgumentException.class, () -> PlanOrder.named("first"));
-        assertThat(error).hasMessageThat().contains("[arrival, fair-share, urgency]");
+        assertThat(error).hasMessageThat().contains("[arrival, cost, fair-share, urgency]");
     }
 }
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -17,6 +17,10 @@
 import org.lovagegrade.graph.machine.GraphStateMachine;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
+import org.lovagegrade.overload.CostOfDelay;
+import org.lovagegrade.overload.Objective;
+import org.lovagegrade.overload.RemainingWork;
+import org.lovagegrade.overload.WorkItem;
 import org.lovagegrade.wire.proto.AdviceCostProto;
 import org.lovagegrade.wire.proto.FleetDocumentProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
@@ -28,6 +32,8 @@
 
 final class PlannerTest {
     private static final String POOL = "pool";
+    private static final CostOfDelay COST =
+            CostOfDelay.of(WorkItem.of("j", "team", 0, Objective.within(1_000), RemainingWork.of(100, 100)), 0);
 
     private final GraphStateMachine machine = GraphStateMachine.withRetention(1_000);
     private final List<CandidateWorker> workers = new ArrayList<>();
@@ -86,7 +92,7 @@
         List<Integer> waiting =
                 IntStream.range(0, record.tasks().size()).boxed().toList();
         return new StepDemand(
-                record, queue.build(), waiting, Urgency.IN_TIME, 0, suspects::contains, _index -> avoidedWorkers);
+                record, queue.build(), waiting, Urgency.IN_TIME, 0, COST, suspects::contains, _index -> avoidedWorkers);
     }
 
     private static StepProto.Builder step(int count, long milliCores) {
