Report the cost and the result of work in the leader's log lines

jobAccepted now has the priority, objective, cores and work by estimate; jobOver has the queue, workspace and result, judged by Urgency. runEnded, runGivenUp and runLost have the core-ms used, the part saved by a checkpoint and the cause of waste. adviceSettled reports the time of each question that was sent to the adviser. workerIntroduced names the failure domain. No run and no job gets an additional line. New metrics: lovagegrade_jobs_over, lovagegrade_job_wait_ms by priority, lovagegrade_wasted_core_ms by cause.

--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
@@ -39,6 +39,7 @@
     private final Map<Long, Question> inFlight = new TreeMap<>();
     private final Deque<Poll> polls = new ArrayDeque<>();
     private final Map<String, Long> lastPollMsByCaller = new HashMap<>();
+    private final Consumer<SettledQuestion> settledQuestions;
     private long nextQuestionNumber = 1;
 
     /** A question that is queued or sent, and the time at which it times out once it is sent. */
@@ -46,6 +47,7 @@
         final AdviceQuestionProto proto;
         final int priority;
         final double costMs;
+        long sentAtMs;
         long timesOutAtMs;
 
         Question(AdviceQuestionProto proto, int priority, double costMs) {
@@ -62,6 +64,20 @@
     /** An open poll of a process that waits for a question. */
     private record Poll(String caller, Consumer<List<AdviceQuestionProto>> reply, long sinceMs) {}
 
+    /** Creates a broker without questions. */
+    public AdviceBroker() {
+        this(_question -> {});
+    }
+
+    /**
+     * Creates a broker without questions.
+     *
+     * @param settledQuestions receives each question that was sent, once it is answered or given up
+     */
+    public AdviceBroker(Consumer<SettledQuestion> settledQuestions) {
+        this.settledQuestions = settledQuestions;
+    }
+
     /**
      * Returns the verdict on running a step on a worker.
      *
@@ -148,6 +164,9 @@
 
     private boolean settle(AdviceResultProto result, long nowMs) {
         Question question = inFlight.remove(result.getNumber());
+        if (question != null) {
+            report(question, result, nowMs);
+        }
         StepAdvice advice = question == null ? null : steps.get(question.proto.getStep());
         if (advice == null) {
             return false;
@@ -170,6 +189,7 @@
             Question question = unanswered.next();
             if (question.timesOutAtMs < nowMs) {
                 unanswered.remove();
+                report(question, AdviceResultProto.getDefaultInstance(), nowMs);
                 StepAdvice advice = steps.get(question.proto.getStep());
                 if (advice != null) {
                     advice.isPending = false;
@@ -183,6 +203,15 @@
         dispatch(nowMs);
     }
 
+    private void report(Question question, AdviceResultProto result, long nowMs) {
+        settledQuestions.accept(new SettledQuestion(
+                question.proto.getStep(),
+                question.proto.getWorkersCount(),
+                result.getAllowedCount(),
+                result.getAnswered(),
+                nowMs - question.sentAtMs - result.getAgeMs()));
+    }
+
     private void dispatch(long nowMs) {
         Iterator<Question> next = queued.iterator();
         while (next.hasNext() && !polls.isEmpty()) {
@@ -204,6 +233,7 @@
     }
 
     private void send(Question question, long nowMs) {
+        question.sentAtMs = nowMs;
         question.timesOutAtMs = nowMs + (long) question.costMs + ANSWER_SLACK_MS;
         inFlight.put(question.proto.getNumber(), question);
         polls.poll().reply().accept(List.of(question.proto));
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -57,9 +57,10 @@
     private final Clock clock;
     private final Clock wallClock;
     private final PlanOrder planOrder;
-    private final AdviceBroker adviceBroker = new AdviceBroker();
+    private final AdviceBroker adviceBroker = new AdviceBroker(AdviceAccounting::report);
     private final WorkerHealth health = new WorkerHealth();
     private final CrashingJobs crashingJobs;
+    private final JobAccounting jobAccounting;
     /** Starts that were proposed to the log and are not committed yet. */
     private final Map<RunKey, Placement> proposedStarts = new HashMap<>();
     /** Whether anything that affects placement has changed since the last plan. */
@@ -84,6 +85,7 @@
         this.wallClock = wallClock;
         this.planOrder = planOrder;
         this.crashingJobs = new CrashingJobs(proposer, metrics);
+        this.jobAccounting = new JobAccounting(machine, wallClock, metrics);
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
     }
@@ -113,7 +115,7 @@
                     .with("worker", run.worker())
                     .warn();
             health.runStalled(run.worker(), run.key().task(), nowMs);
-            driver.requestStop(run, nowMs);
+            driver.requestStop(run, WasteCause.STALLED, nowMs);
             dirty = true;
         }
     }
@@ -194,6 +196,7 @@
         long nowMs = clock.nowMs();
         String step = run.step().name();
         driver.runStarted(run, adviceBroker.ticket(step, run.worker()), nowMs);
+        jobAccounting.runStarted(run);
         dirty = true;
     }
 
@@ -226,7 +229,7 @@
         long nowMs = clock.nowMs();
         for (RunRecord run : List.copyOf(lost.step().runs())) {
             if (run.key().run() == lost.key().run()) {
-                driver.requestStop(run, nowMs);
+                driver.requestStop(run, WasteCause.GANG_BROKEN, nowMs);
             }
         }
     }
@@ -239,12 +242,7 @@
     @Override
     public void jobAccepted(JobRecord job) {
         dirty = true;
-        Log.event("jobAccepted")
-                .with("job", job.id())
-                .with("queue", job.graph().getQueue())
-                .with("workspace", job.graph().getWorkspace())
-                .with("steps", job.graph().getStepsCount())
-                .info();
+        jobAccounting.jobAccepted(job);
     }
 
     @Override
@@ -253,11 +251,7 @@
         job.occurrences().forEach(steps -> steps.forEach(step -> adviceBroker.forgetStep(step.name())));
         health.forgetJob(job.id());
         crashingJobs.forget(job);
-        Log.event("jobOver")
-                .with("job", job.id())
-                .with("state", job.state().name())
-                .with("tookMs", wallClock.nowMs() - job.acceptedAtMs())
-                .info();
+        jobAccounting.jobFinished(job);
     }
 
     @Override
--- a/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
@@ -45,9 +45,7 @@
             stopUnknownRun(session, view);
             return;
         }
-        if (!view.checkpoint().isEmpty()) {
-            tracker.checkpoint = view.checkpoint();
-        }
+        tracker.recordCheckpoint(view.checkpoint(), nowMs);
         tracker.recordExistence(nowMs);
         tracker.recordProgress(view.percent(), nowMs);
         boolean isUnconfirmed =
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OutcomeProposer.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OutcomeProposer.java
@@ -18,10 +18,12 @@
 final class OutcomeProposer {
     private final CommandProposer proposer;
     private final CrashAttribution crashAttribution;
+    private final RunAccounting accounting;
 
-    OutcomeProposer(CommandProposer proposer, CrashAttribution crashAttribution) {
+    OutcomeProposer(CommandProposer proposer, CrashAttribution crashAttribution, RunAccounting accounting) {
         this.proposer = proposer;
         this.crashAttribution = crashAttribution;
+        this.accounting = accounting;
     }
 
     /** Proposes the ends that a worker lists, each once, and adds their runs to {@code listedRuns}. */
@@ -44,11 +46,15 @@
             if (tracker != null) {
                 tracker.phase = RunTracker.Phase.ENDING;
             }
+            RunUsage usage = tracker == null ? RunUsage.NONE : accounting.end(tracker, end.how(), end.checkpoint());
             Log.event("runEnded")
                     .with("run", end.key().toString())
                     .with("worker", session.id())
                     .with("number", end.number())
                     .with("how", end.how().name())
+                    .with("coreMs", usage.coreMs())
+                    .with("savedCoreMs", usage.savedCoreMs())
+                    .with("waste", usage.waste().name())
                     .info();
         }
         if (!newEnds.isEmpty()) {
@@ -61,10 +67,14 @@
     void proposeEnd(WorkerSession session, RunTracker tracker, RunEndProto how) {
         tracker.phase = RunTracker.Phase.ENDING;
         proposeEnds(session, session.record.cursor(), List.of(endOf(tracker, how)));
+        RunUsage usage = accounting.end(tracker, how, tracker.checkpoint);
         Log.event("runGivenUp")
                 .with("run", tracker.run.key().toString())
                 .with("worker", session.id())
                 .with("how", how.name())
+                .with("coreMs", usage.coreMs())
+                .with("savedCoreMs", usage.savedCoreMs())
+                .with("waste", usage.waste().name())
                 .info();
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.graph.leader;
 
 import org.lovagegrade.graph.machine.RunRecord;
+import org.lovagegrade.wire.proto.RunEndProto;
 
 /** Tracks the orders for one run, from its start until its end is proposed. */
 final class RunTracker {
@@ -44,6 +45,10 @@
     long listingValidFromMs;
     /** The latest checkpoint that the worker listed. */
     String checkpoint = "";
+    /** Why a stop was requested. */
+    WasteCause stopCause = WasteCause.NONE;
+    /** What the run used was reported. */
+    boolean accounted;
 
     /** For how long the progress had not changed at the latest listing, in milliseconds. */
     long noProgressMs;
@@ -51,6 +56,10 @@
     /** When the worker first confirmed that the run exists there. */
     private long existsSinceMs = NEVER_SEEN;
 
+    private final long createdMs;
+    private final boolean takenOver;
+    private long checkpointSinceMs;
+
     private int percent = -1;
     private long percentSinceMs;
 
@@ -58,6 +67,8 @@
         this.run = run;
         this.ticket = ticket;
         this.phase = phase;
+        this.createdMs = nowMs;
+        this.takenOver = phase == Phase.VERIFYING;
         this.percentSinceMs = nowMs;
         this.orderSent = phase == Phase.VERIFYING;
     }
@@ -84,6 +95,32 @@
         return orderSent && !isUnseen() && survivedMs(lastAnswerMs) < SOON_AFTER_START_MS;
     }
 
+    /** Records the checkpoint that a listing shows. */
+    void recordCheckpoint(String listed, long nowMs) {
+        if (!listed.isEmpty() && !listed.equals(checkpoint)) {
+            checkpoint = listed;
+            checkpointSinceMs = nowMs;
+        }
+    }
+
+    /** For how long a run that has ended in this way existed under this leader, in milliseconds. */
+    long usedMs(RunEndProto how, long nowMs) {
+        boolean isExistenceProven = how != RunEndProto.RUN_REFUSED && how != RunEndProto.RUN_LOST;
+        if (!takenOver && existsSinceMs != NEVER_SEEN) {
+            return nowMs - existsSinceMs;
+        }
+        return isExistenceProven || existsSinceMs != NEVER_SEEN ? nowMs - createdMs : 0;
+    }
+
+    /** The part of the run's time, in milliseconds, that a run which resumes from the given checkpoint doesn't repeat. */
+    long savedMs(String resumedFrom, long nowMs) {
+        if (resumedFrom.isEmpty() || resumedFrom.equals(run.checkpoint())) {
+            return 0;
+        }
+        long beganMs = takenOver || existsSinceMs == NEVER_SEEN ? createdMs : existsSinceMs;
+        return resumedFrom.equals(checkpoint) ? Math.max(0, checkpointSinceMs - beganMs) : nowMs - beganMs;
+    }
+
     /** Records the progress that a listing shows. */
     void recordProgress(int listedPercent, long nowMs) {
         if (listedPercent != percent) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -59,6 +59,7 @@
     private final Metrics metrics;
     private final DriverSafeguards safeguards;
     private final DriverTerm term;
+    private final RunAccounting accounting;
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
     private final ListingReconciler listingReconciler;
@@ -74,8 +75,9 @@
                 .declare(LOST_RUNS, LossCause.class);
         this.safeguards = dependencies.safeguards();
         this.term = new DriverTerm(term, nowMs);
+        this.accounting = new RunAccounting(clock, metrics);
         this.outcomeProposer =
-                new OutcomeProposer(dependencies.proposer(), new CrashAttribution(sessions::values, clock));
+                new OutcomeProposer(dependencies.proposer(), new CrashAttribution(sessions::values, clock), accounting);
         this.orderSender = new OrderSender(
                 dependencies,
                 this.term,
@@ -223,12 +225,16 @@
     private void reportLoss(WorkerSession session, RunTracker tracker) {
         LossCause cause = lossCause(session);
         metrics.count(LOST_RUNS, cause);
+        RunUsage usage = accounting.end(tracker, RunEndProto.RUN_LOST, tracker.checkpoint);
         Log.event("runLost")
                 .with("run", tracker.run.key().toString())
                 .with("worker", session.id())
                 .with("cause", cause.name())
                 .with("survivedMs", tracker.survivedMs(session.lastAnswerMs))
                 .with("runs", session.runs.size())
+                .with("coreMs", usage.coreMs())
+                .with("savedCoreMs", usage.savedCoreMs())
+                .with("waste", usage.waste().name())
                 .warn();
     }
 
@@ -255,11 +261,18 @@
         return worker.getId().equals(successor.getId()) ? worker.getBornMs() != successor.getBornMs() : isSameAddress;
     }
 
+    /** Stops a run whose end shows by itself why: its job is over or its task is done. */
     void requestStop(RunRecord run, long nowMs) {
+        requestStop(run, WasteCause.NONE, nowMs);
+    }
+
+    /** Stops a run for the given reason. */
+    void requestStop(RunRecord run, WasteCause cause, long nowMs) {
         WorkerSession session = sessions.get(run.worker());
         RunTracker tracker = session == null ? null : session.runs.get(run.key());
         if (tracker != null) {
             tracker.stopRequested = true;
+            tracker.stopCause = tracker.stopCause == WasteCause.NONE ? cause : tracker.stopCause;
             orderSender.sendIfDue(session, tracker, nowMs);
         }
     }
@@ -395,6 +408,7 @@
         Log.event("workerIntroduced")
                 .with("worker", session.id())
                 .with("fence", term.number())
+                .with("domain", session.info().getFailureDomain())
                 .with("runs", session.runs.size())
                 .info();
         session.runs.values().forEach(tracker -> orderSender.sendIfDue(session, tracker, nowMs));
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
@@ -34,7 +34,7 @@
      */
     public static Urgency of(JobRecord job, int occurrence, QueueProto queue, long dueAtMs, long nowMs) {
         List<StepRecord> steps = job.occurrences().get(occurrence);
-        double objectiveMs = queue.getSlackFactor() * criticalPathMs(steps, false) + queue.getCompletionTargetMs();
+        double objectiveMs = objectiveMs(steps, queue);
         double expectedMs = nowMs - dueAtMs + criticalPathMs(steps, true);
         if (expectedMs <= objectiveMs) {
             return IN_TIME;
@@ -42,6 +42,17 @@
         return expectedMs <= objectiveMs * USEFUL_FACTOR ? LATE : OVERDUE;
     }
 
+    /**
+     * The time within which the caller of an occurrence expects its result.
+     *
+     * @param steps the steps of the occurrence
+     * @param queue the job's queue
+     * @return the objective, in milliseconds from when the occurrence is due
+     */
+    public static double objectiveMs(List<StepRecord> steps, QueueProto queue) {
+        return queue.getSlackFactor() * criticalPathMs(steps, false) + queue.getCompletionTargetMs();
+    }
+
     /** The critical path by the steps' estimates, in milliseconds, optionally without the steps that are done. */
     private static long criticalPathMs(List<StepRecord> steps, boolean onlyUnfinished) {
         long[] finishMs = new long[steps.size()];
--- a/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
@@ -14,7 +14,8 @@
     private static final double QUICK_MS = 20;
     private static final double SLOW_MS = 900;
 
-    private final AdviceBroker broker = new AdviceBroker();
+    private final List<SettledQuestion> settled = new ArrayList<>();
+    private final AdviceBroker broker = new AdviceBroker(settled::add);
     private final List<AdviceQuestionProto> received = new ArrayList<>();
 
     private void poll(String caller, long nowMs) {
@@ -130,4 +131,28 @@
             assertThat(replies).containsExactly(List.of());
         }
     }
+
+    /** Guards against the adviser's time that is missing in the account, above all of questions without an answer. */
+    @Nested
+    final class Cost {
+        @Test
+        void shouldBeReportedForAnAnswer() {
+            poll("entry-1", 0);
+            broker.request("j.0.0", List.of("w1", "w2"), 0, QUICK_MS, 10);
+
+            answer("entry-1", received.get(0).getNumber(), 40, "w2");
+
+            assertThat(settled).containsExactly(new SettledQuestion("j.0.0", 2, 1, true, 30));
+        }
+
+        @Test
+        void shouldBeReportedForAQuestionThatTimesOut() {
+            poll("entry-1", 0);
+            broker.request("j.0.0", List.of("w1"), 0, QUICK_MS, 10);
+
+            broker.tick(9_010);
+
+            assertThat(settled).containsExactly(new SettledQuestion("j.0.0", 1, 0, false, 9_000));
+        }
+    }
 }
--- a/kernel/src/main/java/org/lovagegrade/kernel/metrics/Metrics.java
+++ b/kernel/src/main/java/org/lovagegrade/kernel/metrics/Metrics.java
@@ -52,6 +52,33 @@
         counter(name, reason).increment();
     }
 
+    /**
+     * Adds an amount to the counter of a reason.
+     *
+     * @param name the name of the counter, with its unit as suffix
+     * @param reason the reason; written as a label in lower case
+     * @param amount the amount in that unit, not negative
+     */
+    public void add(String name, Enum<?> reason, double amount) {
+        counter(name, reason).increment(amount);
+    }
+
+    /**
+     * Records a value in a summary with the 50th and 99th percentile, one for each group.
+     *
+     * @param name the name of the summary, with its unit as suffix
+     * @param label the name of the label of groups
+     * @param group the group; written as a label in lower case
+     * @param value the value in that unit
+     */
+    public void record(String name, String label, Enum<?> group, double value) {
+        DistributionSummary.builder(name)
+                .tag(label, group.name().toLowerCase(Locale.ROOT))
+                .publishPercentiles(0.5, 0.99)
+                .register(registry)
+                .record(value);
+    }
+
     /**
      * Records a value in a summary with the 50th and 99th percentile.
      *
