--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -59,10 +59,11 @@
     private final Clock clock;
     private final Clock wallClock;
     private final PlanOrder planOrder;
-    private final AdviceBroker adviceBroker = new AdviceBroker();
+    private final AdviceBroker adviceBroker = new AdviceBroker(AdviceAccounting::report);
     private final WorkerHealth health = new WorkerHealth();
     private final CrashingJobs crashingJobs;
     private final WorkAccount workAccount;
+    private final JobAccounting jobAccounting;
     /** Starts that were proposed to the log and are not committed yet. */
     private final Map<RunKey, Placement> proposedStarts = new HashMap<>();
     /** Whether anything that affects placement has changed since the last plan. */
@@ -88,6 +89,7 @@
         this.planOrder = planOrder;
         this.crashingJobs = new CrashingJobs(proposer, metrics);
         this.workAccount = new WorkAccount(machine);
+        this.jobAccounting = new JobAccounting(machine, wallClock, metrics);
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
     }
@@ -117,7 +119,7 @@
                     .with("worker", run.worker())
                     .warn();
             health.runStalled(run.worker(), run.key().task(), nowMs);
-            driver.requestStop(run, nowMs);
+            driver.requestStop(run, WasteCause.STALLED, nowMs);
             dirty = true;
         }
     }
@@ -199,6 +201,7 @@
         String step = run.step().name();
         workAccount.runStarted(run, nowMs);
         driver.runStarted(run, adviceBroker.ticket(step, run.worker()), nowMs);
+        jobAccounting.runStarted(run);
         dirty = true;
     }
 
@@ -232,7 +235,7 @@
         long nowMs = clock.nowMs();
         for (RunRecord run : List.copyOf(lost.step().runs())) {
             if (run.key().run() == lost.key().run()) {
-                driver.requestStop(run, nowMs);
+                driver.requestStop(run, WasteCause.GANG_BROKEN, nowMs);
             }
         }
     }
@@ -246,12 +249,7 @@
     public void jobAccepted(JobRecord job) {
         dirty = true;
         workAccount.jobAccepted(job);
-        Log.event("jobAccepted")
-                .with("job", job.id())
-                .with("queue", job.graph().getQueue())
-                .with("workspace", job.graph().getWorkspace())
-                .with("steps", job.graph().getStepsCount())
-                .info();
+        jobAccounting.jobAccepted(job);
     }
 
     @Override
@@ -261,11 +259,7 @@
         health.forgetJob(job.id());
         crashingJobs.forget(job);
         workAccount.jobFinished(job);
-        Log.event("jobOver")
-                .with("job", job.id())
-                .with("state", job.state().name())
-                .with("tookMs", wallClock.nowMs() - job.acceptedAtMs())
-                .info();
+        jobAccounting.jobFinished(job);
     }
 
     @Override
