--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
@@ -1,67 +1,101 @@
 package org.lovagegrade.graph.advice;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.lovagegrade.kernel.metrics.Metrics;
 import org.lovagegrade.wire.proto.AdviceQuestionProto;
 import org.lovagegrade.wire.proto.AdviceResultProto;
 
 /**
- * Queues questions for the adviser, hands them to processes that poll for them, and keeps the answers. The adviser
+ * Holds the questions of the latest plan, hands them to processes that poll for them, and keeps the answers. The adviser
  * serves one call at a time for each process; some processes are reserved for quick questions, so that slow ones never
- * occupy all of them.
+ * occupy all of them. A question is fixed only when it is sent: until then each plan replaces it.
  *
- * <p>Example: {@code broker.request("j.0.0", List.of("w1"), 0, 20, nowMs);}
+ * <p>Example: {@code broker.replaceQueue(wishes, nowMs);}
  */
 public final class AdviceBroker {
+    private static final String QUESTIONS_METRIC = "lovagegrade_advice_questions";
     /** Tickets expire this much early: before the order reaches the worker it has to be committed and sent. */
     private static final long TICKET_MARGIN_MS = 250;
     /** A question with a higher cost is slow and may not use the processes that are reserved for quick ones. */
     private static final double SLOW_QUESTION_MS = 200;
     /** The fraction of processes that is reserved for quick questions, if there are several. */
     private static final double QUICK_QUESTION_SHARE = 0.4;
-    /** A question times out this long after its expected duration. */
-    private static final long ANSWER_SLACK_MS = 1_500;
+    /** The fraction of processes that may ask about work whose result will be useless; at least one may. */
+    private static final double USELESS_QUESTION_SHARE = 0.1;
+    /** A question is sent to another process this long, and this part of its cost, after its expected duration. */
+    private static final long ANSWER_SLACK_MS = 400;
+
+    private static final double ANSWER_SLACK_SHARE = 0.5;
+    /** An answer is accepted this long after its question has timed out; the calling process waits at most 4 s. */
+    private static final long LATE_ANSWER_MS = 5_000;
     /** How long a poll is held open while there is no question for it. */
     private static final long POLL_TIMEOUT_MS = 500;
-    /** A process that hasn't polled for this long is not counted. */
-    private static final long CALLER_TIMEOUT_MS = 5_000;
 
     private final Map<String, StepAdvice> steps = new HashMap<>();
-    private final List<Question> queued = new ArrayList<>();
+    private final List<QuestionWish> queued = new ArrayList<>();
     private final Map<Long, Question> inFlight = new TreeMap<>();
-    private final Deque<Poll> polls = new ArrayDeque<>();
-    private final Map<String, Long> lastPollMsByCaller = new HashMap<>();
-    private long nextQuestionNumber = 1;
-
-    /** A question that is queued or sent, and the time at which it times out once it is sent. */
-    private static final class Question {
-        final AdviceQuestionProto proto;
-        final int priority;
-        final double costMs;
-        long timesOutAtMs;
-
-        Question(AdviceQuestionProto proto, int priority, double costMs) {
-            this.proto = proto;
-            this.priority = priority;
-            this.costMs = costMs;
-        }
+    private final Map<Long, Question> timedOut = new TreeMap<>();
+    private final List<Poll> polls = new ArrayList<>();
+    private final AdviceCallers callers = new AdviceCallers();
+    private final AllowedShares allowedShares = new AllowedShares();
+    private final Metrics metrics;
+    private long nextQuestionNumber;
+
+    /** What became of a question. */
+    private enum Outcome {
+        /** The adviser answered in time. */
+        ANSWERED,
+        /** The adviser answered after the question was sent again or its step was done. */
+        ANSWERED_LATE,
+        /** The calling process got no answer, or a refusal, from the adviser. */
+        UNANSWERED,
+        /** The calling process reported nothing in time. */
+        TIMED_OUT,
+        /** The question was not sent, since a later plan had no use for it. */
+        DROPPED
+    }
 
+    /** A question that was sent. */
+    private record Question(QuestionWish wish, long number, String caller, long sentAtMs) {
         boolean isSlow() {
-            return costMs > SLOW_QUESTION_MS;
+            return AdviceBroker.isSlow(wish);
+        }
+
+        Question without(String worker) {
+            return new Question(wish.without(worker), number, caller, sentAtMs);
+        }
+
+        long timesOutAtMs() {
+            return sentAtMs + ANSWER_SLACK_MS + (long) (wish.costMs() * (1 + ANSWER_SLACK_SHARE));
         }
     }
 
     /** An open poll of a process that waits for a question. */
     private record Poll(String caller, Consumer<List<AdviceQuestionProto>> reply, long sinceMs) {}
 
+    /**
+     * Creates a broker without questions and answers.
+     *
+     * @param firstQuestionNumber the number of the first question; greater than the numbers of earlier leaders, so that
+     *     a late answer to a question of theirs isn't taken for an answer to one of this broker
+     * @param metrics counts the questions by their outcome
+     */
+    public AdviceBroker(long firstQuestionNumber, Metrics metrics) {
+        this.nextQuestionNumber = firstQuestionNumber;
+        this.metrics = metrics.declare(QUESTIONS_METRIC, Outcome.class);
+    }
+
     /**
      * Returns the verdict on running a step on a worker.
      *
@@ -75,6 +109,29 @@
         return advice == null ? Verdict.UNKNOWN : advice.verdict(worker, nowMs);
     }
 
+    /**
+     * How long the ticket of a step on a worker remains valid.
+     *
+     * @param step the step's name
+     * @param worker the id of the worker
+     * @param nowMs the present time in milliseconds
+     * @return the remaining time in milliseconds, 0 if there is no valid ticket
+     */
+    public long remainingMs(String step, String worker, long nowMs) {
+        StepAdvice advice = steps.get(step);
+        return advice == null ? 0 : advice.remainingMs(worker, nowMs);
+    }
+
+    /**
+     * The measured fraction of workers that may run the steps of a queue.
+     *
+     * @param queue the queue's name
+     * @return the fraction, greater than 0 and less than 1
+     */
+    public double allowedShare(String queue) {
+        return allowedShares.of(queue);
+    }
+
     /**
      * The latest ticket of a step on a worker.
      *
@@ -88,40 +145,46 @@
     }
 
     /**
-     * Whether a question about a step is pending.
+     * Whether a question about a step was sent and is not answered.
      *
      * @param step the step's name
-     * @return true while a question is queued or unanswered
+     * @return true until the answer or the timeout
      */
     public boolean isPending(String step) {
-        StepAdvice advice = steps.get(step);
-        return advice != null && advice.isPending;
+        return pendingQuestion(step).isPresent();
     }
 
     /**
-     * Queues a question, unless one about the same step is pending.
+     * The workers that the unanswered question about a step names.
      *
      * @param step the step's name
-     * @param workers the ids of the workers to ask about
-     * @param priority the queue's priority; a lower number goes first
-     * @param costMs the expected duration of the adviser's call, in milliseconds
+     * @return the ids of the workers; empty if no question is pending
+     */
+    public List<String> workersAsked(String step) {
+        return pendingQuestion(step).map(question -> question.wish().workers()).orElseGet(List::of);
+    }
+
+    private Optional<Question> pendingQuestion(String step) {
+        return Optional.ofNullable(steps.get(step)).map(advice -> inFlight.get(advice.latestQuestion));
+    }
+
+    /**
+     * Replaces the questions that wait to be sent. A question about a step that has a pending one is ignored.
+     *
+     * @param wishes the questions of the latest plan, at most one for each step, each with at least one worker
      * @param nowMs the present time in milliseconds
+     * @return the wishes about steps for which none was queued before
      */
-    public void request(String step, List<String> workers, int priority, double costMs, long nowMs) {
-        StepAdvice advice = steps.computeIfAbsent(step, _name -> new StepAdvice());
-        if (advice.isPending || workers.isEmpty()) {
-            return;
-        }
-        advice.isPending = true;
-        AdviceQuestionProto proto = AdviceQuestionProto.newBuilder()
-                .setNumber(nextQuestionNumber++)
-                .setStep(step)
-                .addAllWorkers(workers)
-                .build();
-        queued.add(new Question(proto, priority, costMs));
-        queued.sort(Comparator.<Question>comparingInt(question -> question.priority)
-                .thenComparingLong(question -> question.proto.getNumber()));
+    public List<QuestionWish> replaceQueue(List<QuestionWish> wishes, long nowMs) {
+        Set<String> before = queued.stream().map(QuestionWish::step).collect(Collectors.toSet());
+        queued.clear();
+        wishes.stream().filter(wish -> !isPending(wish.step())).forEach(queued::add);
+        queued.sort(Comparator.comparing(QuestionWish::rank));
+        List<QuestionWish> added =
+                queued.stream().filter(wish -> !before.remove(wish.step())).toList();
+        before.forEach(_step -> metrics.count(QUESTIONS_METRIC, Outcome.DROPPED));
         dispatch(nowMs);
+        return added;
     }
 
     /**
@@ -131,11 +194,11 @@
      * @param results the results of its earlier questions
      * @param reply receives the next question, or an empty list when the poll times out
      * @param nowMs the present time in milliseconds
-     * @return whether a result settled a pending question, with or without an answer
+     * @return whether a result settled a question, with or without an answer
      */
     public boolean poll(
             String caller, List<AdviceResultProto> results, Consumer<List<AdviceQuestionProto>> reply, long nowMs) {
-        lastPollMsByCaller.put(caller, nowMs);
+        callers.polled(caller, nowMs);
         boolean isSettled = false;
         for (AdviceResultProto result : results) {
             isSettled |= settle(result, nowMs);
@@ -147,66 +210,127 @@
     }
 
     private boolean settle(AdviceResultProto result, long nowMs) {
-        Question question = inFlight.remove(result.getNumber());
-        StepAdvice advice = question == null ? null : steps.get(question.proto.getStep());
-        if (advice == null) {
+        Question inTime = inFlight.remove(result.getNumber());
+        Question question = inTime == null ? timedOut.remove(result.getNumber()) : inTime;
+        if (question == null) {
             return false;
         }
-        advice.isPending = false;
-        if (result.getAnswered()) {
-            advice.update(question.proto.getWorkersList(), result, TICKET_MARGIN_MS, nowMs);
+        if (!result.getAnswered()) {
+            if (inTime != null) {
+                metrics.count(QUESTIONS_METRIC, Outcome.UNANSWERED);
+                callers.failed(question.caller(), nowMs);
+            }
+            return inTime != null;
+        }
+        StepAdvice advice = steps.get(question.wish().step());
+        boolean isLate = inTime == null || advice == null;
+        metrics.count(QUESTIONS_METRIC, isLate ? Outcome.ANSWERED_LATE : Outcome.ANSWERED);
+        callers.answered(
+                question.caller(), nowMs - question.sentAtMs() - question.wish().costMs());
+        if (advice != null) {
+            measureShare(question.wish(), advice, result, nowMs);
+            advice.update(question.wish().workers(), result, TICKET_MARGIN_MS, nowMs);
         }
-        return true;
+        return advice != null;
+    }
+
+    private void measureShare(QuestionWish wish, StepAdvice advice, AdviceResultProto result, long nowMs) {
+        Set<String> unknown = wish.workers().stream()
+                .filter(worker -> advice.verdict(worker, nowMs) == Verdict.UNKNOWN)
+                .collect(Collectors.toSet());
+        long allowed = result.getAllowedList().stream()
+                .filter(ticket -> unknown.contains(ticket.getWorker()))
+                .count();
+        allowedShares.add(wish.queue(), unknown.size(), (int) allowed);
     }
 
     /**
      * Handles timeouts: of questions without an answer, of open polls, and of processes that no longer poll.
      *
      * @param nowMs the present time in milliseconds
+     * @return whether a question timed out, so that it has to be sent again
      */
-    public void tick(long nowMs) {
+    public boolean tick(long nowMs) {
+        boolean hasTimeout = false;
         Iterator<Question> unanswered = inFlight.values().iterator();
         while (unanswered.hasNext()) {
             Question question = unanswered.next();
-            if (question.timesOutAtMs < nowMs) {
+            if (question.timesOutAtMs() < nowMs) {
                 unanswered.remove();
-                StepAdvice advice = steps.get(question.proto.getStep());
-                if (advice != null) {
-                    advice.isPending = false;
-                }
+                timedOut.put(question.number(), question);
+                metrics.count(QUESTIONS_METRIC, Outcome.TIMED_OUT);
+                callers.failed(question.caller(), nowMs);
+                hasTimeout = true;
             }
         }
-        while (!polls.isEmpty() && polls.peek().sinceMs() + POLL_TIMEOUT_MS < nowMs) {
-            polls.poll().reply().accept(List.of());
-        }
-        lastPollMsByCaller.values().removeIf(polledMs -> polledMs + CALLER_TIMEOUT_MS < nowMs);
+        timedOut.values().removeIf(question -> question.timesOutAtMs() + LATE_ANSWER_MS < nowMs);
+        closePolls(nowMs);
+        callers.forgetSilent(nowMs);
         dispatch(nowMs);
+        return hasTimeout;
+    }
+
+    private void closePolls(long nowMs) {
+        Iterator<Poll> open = polls.iterator();
+        while (open.hasNext()) {
+            Poll poll = open.next();
+            if (poll.sinceMs() + POLL_TIMEOUT_MS < nowMs) {
+                open.remove();
+                poll.reply().accept(List.of());
+            }
+        }
     }
 
     private void dispatch(long nowMs) {
-        Iterator<Question> next = queued.iterator();
-        while (next.hasNext() && !polls.isEmpty()) {
-            Question question = next.next();
-            if (!steps.containsKey(question.proto.getStep())) {
+        Iterator<QuestionWish> next = queued.iterator();
+        Optional<Poll> poll = bestPoll(nowMs);
+        while (next.hasNext() && poll.isPresent()) {
+            QuestionWish wish = next.next();
+            if (maySend(wish)) {
                 next.remove();
-            } else if (!question.isSlow() || canSendSlow()) {
-                next.remove();
-                send(question, nowMs);
+                send(wish, poll.get(), nowMs);
+                poll = bestPoll(nowMs);
             }
         }
     }
 
-    private boolean canSendSlow() {
-        long slow = inFlight.values().stream().filter(Question::isSlow).count();
-        int callers = Math.max(1, lastPollMsByCaller.size());
-        int reserved = callers == 1 ? 0 : (int) Math.ceil(callers * QUICK_QUESTION_SHARE);
-        return slow < callers - reserved;
+    /** Selects the process whose answers came with the least delay; of equal ones, the one that polled first. */
+    private Optional<Poll> bestPoll(long nowMs) {
+        return polls.stream()
+                .filter(poll -> !callers.isResting(poll.caller(), nowMs))
+                .min(Comparator.comparingDouble(poll -> callers.lateMs(poll.caller())));
+    }
+
+    private boolean maySend(QuestionWish wish) {
+        int processes = Math.max(1, callers.count());
+        int reserved = processes == 1 ? 0 : (int) Math.ceil(processes * QUICK_QUESTION_SHARE);
+        if (isSlow(wish) && count(Question::isSlow) >= processes - reserved) {
+            return false;
+        }
+        long maxUseless = Math.max(1, (long) (processes * USELESS_QUESTION_SHARE));
+        return !wish.rank().isUseless()
+                || count(question -> question.wish().rank().isUseless()) < maxUseless;
+    }
+
+    private long count(Predicate<Question> condition) {
+        return inFlight.values().stream().filter(condition).count();
+    }
+
+    private static boolean isSlow(QuestionWish wish) {
+        return wish.costMs() > SLOW_QUESTION_MS;
     }
 
-    private void send(Question question, long nowMs) {
-        question.timesOutAtMs = nowMs + (long) question.costMs + ANSWER_SLACK_MS;
-        inFlight.put(question.proto.getNumber(), question);
-        polls.poll().reply().accept(List.of(question.proto));
+    private void send(QuestionWish wish, Poll poll, long nowMs) {
+        Question question = new Question(wish, nextQuestionNumber++, poll.caller(), nowMs);
+        inFlight.put(question.number(), question);
+        steps.computeIfAbsent(wish.step(), _name -> new StepAdvice()).latestQuestion = question.number();
+        polls.remove(poll);
+        poll.reply()
+                .accept(List.of(AdviceQuestionProto.newBuilder()
+                        .setNumber(question.number())
+                        .setStep(wish.step())
+                        .addAllWorkers(wish.workers())
+                        .build()));
     }
 
     /**
@@ -229,19 +353,23 @@
      */
     public void forgetStep(String step) {
         steps.remove(step);
+        queued.removeIf(wish -> wish.step().equals(step));
     }
 
     /**
-     * Removes the advice on a worker whose incarnation was removed.
+     * Removes the advice on a worker whose incarnation was removed. An answer that is under way may be about it and is not
+     * applied to the next incarnation.
      *
      * @param worker the id of the worker
      */
     public void forgetWorker(String worker) {
         steps.values().forEach(advice -> advice.forgetWorker(worker));
+        inFlight.replaceAll((_number, question) -> question.without(worker));
+        timedOut.replaceAll((_number, question) -> question.without(worker));
     }
 
     /**
-     * The number of questions that wait for a poll.
+     * The number of questions that wait for a process.
      *
      * @return the number
      */
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/QuestionWish.java
@@ -0,0 +1,20 @@
+package org.lovagegrade.graph.advice;
+
+import java.util.List;
+
+/**
+ * A question that the latest plan wants to have asked.
+ *
+ * @param step the step's name
+ * @param queue the name of the step's queue
+ * @param workers the ids of the workers to ask about
+ * @param rank the question's place among those that wait
+ * @param costMs the expected duration of the adviser's call, in milliseconds
+ */
+public record QuestionWish(String step, String queue, List<String> workers, QuestionRank rank, double costMs) {
+    /** Returns this question without a worker. */
+    QuestionWish without(String worker) {
+        List<String> others = workers.stream().filter(id -> !id.equals(worker)).toList();
+        return new QuestionWish(step, queue, others, rank, costMs);
+    }
+}
--- a/graph/src/main/java/org/lovagegrade/graph/advice/StepAdvice.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/StepAdvice.java
@@ -1,30 +1,42 @@
 package org.lovagegrade.graph.advice;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lovagegrade.wire.proto.AdviceResultProto;
 import org.lovagegrade.wire.proto.AdviceTicketProto;
 
 /** The adviser's answers about one step. */
 final class StepAdvice {
     private final Map<String, Ticket> tickets = new HashMap<>();
-    private final Map<String, Boolean> denied = new HashMap<>();
-    boolean isPending;
+    private final Set<String> denied = new HashSet<>();
+    /** The number of the latest question about the step, 0 before the first. */
+    long latestQuestion;
 
     /** A ticket with the time at which it expires. */
-    private record Ticket(String text, long expiresAtMs) {}
+    private record Ticket(String text, long expiresAtMs) {
+        Ticket laterOf(Ticket other) {
+            return other.expiresAtMs > expiresAtMs ? other : this;
+        }
+    }
 
-    void update(Iterable<String> workers, AdviceResultProto result, long marginMs, long nowMs) {
+    /** Adds an answer about the given workers; tickets for other workers are ignored. */
+    void update(List<String> workers, AdviceResultProto result, long marginMs, long nowMs) {
         long expiresAtMs = nowMs - result.getAgeMs() + result.getValidMs() - marginMs;
         for (String worker : workers) {
             if (!tickets.containsKey(worker)) {
-                denied.put(worker, true);
+                denied.add(worker);
             }
         }
         for (AdviceTicketProto allowed : result.getAllowedList()) {
-            denied.remove(allowed.getWorker());
-            tickets.put(allowed.getWorker(), new Ticket(allowed.getTicket(), expiresAtMs));
+            String worker = allowed.getWorker();
+            if (workers.contains(worker)) {
+                denied.remove(worker);
+                tickets.merge(worker, new Ticket(allowed.getTicket(), expiresAtMs), Ticket::laterOf);
+            }
         }
     }
 
@@ -33,7 +45,12 @@
         if (ticket != null) {
             return ticket.expiresAtMs() > nowMs ? Verdict.ALLOWED : Verdict.STALE;
         }
-        return denied.containsKey(worker) ? Verdict.DENIED : Verdict.UNKNOWN;
+        return denied.contains(worker) ? Verdict.DENIED : Verdict.UNKNOWN;
+    }
+
+    long remainingMs(String worker, long nowMs) {
+        Ticket ticket = tickets.get(worker);
+        return ticket == null || ticket.expiresAtMs() <= nowMs ? 0 : ticket.expiresAtMs() - nowMs;
     }
 
     Optional<String> ticket(String worker) {
--- a/graph/src/main/java/org/lovagegrade/graph/client/AdviceCaller.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/AdviceCaller.java
@@ -7,7 +7,6 @@
 import org.lovagegrade.kernel.Service;
 import org.lovagegrade.wire.proto.AdvicePollProto;
 import org.lovagegrade.wire.proto.AdviceQuestionProto;
-import org.lovagegrade.wire.proto.AdviceResultProto;
 import org.lovagegrade.wire.proto.GraphRequestProto;
 
 /**
@@ -30,6 +29,7 @@
     private final Adviser adviser;
     private final EventLoop loop;
     private final Clock clock;
+    private final UnreportedResults results = new UnreportedResults();
     private volatile boolean running;
 
     /**
@@ -57,7 +57,7 @@
     @Override
     public void start() {
         running = true;
-        poll(List.of());
+        poll();
     }
 
     @Override
@@ -65,13 +65,13 @@
         running = false;
     }
 
-    private void poll(List<AdviceResultProto> results) {
+    private void poll() {
         if (!running) {
             return;
         }
         AdvicePollProto request = AdvicePollProto.newBuilder()
                 .setCaller(caller)
-                .addAllResults(results)
+                .addAllResults(results.at(clock.nowMs()))
                 .build();
         client.ask(GraphRequestProto.newBuilder().setAdvice(request).build(), POLL_TIMEOUT_MS, MAX_HOLD_MS)
                 .thenAccept(this::handleAnswer);
@@ -79,18 +79,21 @@
 
     private void handleAnswer(LeaderAnswer answer) {
         if (!(answer instanceof LeaderAnswer.Answered answered)) {
-            loop.schedule(RETRY_DELAY_MS, () -> poll(List.of()));
+            loop.schedule(RETRY_DELAY_MS, this::poll);
             return;
         }
+        results.clear();
         List<AdviceQuestionProto> questions = answered.reply().getQuestionsList();
         if (questions.isEmpty()) {
-            poll(List.of());
+            poll();
             return;
         }
         adviser.ask(questions.get(0), result -> {
             long answeredAtMs = clock.nowMs();
-            loop.execute(() -> poll(List.of(
-                    result.toBuilder().setAgeMs(clock.nowMs() - answeredAtMs).build())));
+            loop.execute(() -> {
+                results.add(result, answeredAtMs);
+                poll();
+            });
         });
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.lovagegrade.graph.advice.AdviceBroker;
+import org.lovagegrade.graph.advice.QuestionWish;
 import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.GraphStateListener;
 import org.lovagegrade.graph.machine.GraphStateMachine;
@@ -57,7 +58,7 @@
     private final Clock clock;
     private final Clock wallClock;
     private final PlanOrder planOrder;
-    private final AdviceBroker adviceBroker = new AdviceBroker();
+    private final AdviceBroker adviceBroker;
     private final WorkerHealth health = new WorkerHealth();
     private final CrashingJobs crashingJobs;
     /** Starts that were proposed to the log and are not committed yet. */
@@ -83,6 +84,7 @@
         this.clock = clock;
         this.wallClock = wallClock;
         this.planOrder = planOrder;
+        this.adviceBroker = new AdviceBroker(driver.firstIdOfTerm(), metrics);
         this.crashingJobs = new CrashingJobs(proposer, metrics);
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
@@ -98,7 +100,7 @@
             nextStallCheckMs = nowMs + STALL_CHECK_INTERVAL_MS;
             stopStalled(nowMs);
         }
-        adviceBroker.tick(nowMs);
+        dirty |= adviceBroker.tick(nowMs);
         boolean isDue = (dirty && nowMs >= nextPlanMs) || nowMs >= planDeadlineMs;
         if (isDue) {
             plan(nowMs);
@@ -292,24 +294,28 @@
         planDeadlineMs = nowMs + MAX_PLAN_INTERVAL_MS;
         List<StepDemand> demands = demands();
         if (demands.isEmpty()) {
+            queueQuestions(List.of(), nowMs);
             return;
         }
         Plan plan = new Planner(candidateWorkers(nowMs), adviceLookup(nowMs), quotas()).plan(demands);
-        for (AdviceRequest adviceRequest : plan.adviceRequests()) {
+        queueQuestions(plan.adviceRequests(), nowMs);
+        if (!plan.placements().isEmpty()) {
+            propose(plan.placements());
+        }
+    }
+
+    private void queueQuestions(List<AdviceRequest> requests, long nowMs) {
+        long wallMs = wallClock.nowMs();
+        List<QuestionWish> wishes =
+                requests.stream().map(request -> request.toWish(wallMs)).toList();
+        for (QuestionWish wish : adviceBroker.replaceQueue(wishes, nowMs)) {
             Log.event("adviceWanted")
-                    .with("step", adviceRequest.step())
-                    .with("workers", adviceRequest.workers().size())
+                    .with("step", wish.step())
+                    .with("queue", wish.queue())
+                    .with("workers", wish.workers().size())
+                    .with("costMs", Math.round(wish.costMs()))
                     .with("waiting", adviceBroker.queuedQuestions())
                     .info();
-            adviceBroker.request(
-                    adviceRequest.step(),
-                    adviceRequest.workers(),
-                    adviceRequest.priority(),
-                    adviceRequest.costMs(),
-                    nowMs);
-        }
-        if (!plan.placements().isEmpty()) {
-            propose(plan.placements());
         }
     }
 
@@ -442,6 +448,21 @@
             public boolean isPending(String step) {
                 return adviceBroker.isPending(step);
             }
+
+            @Override
+            public List<String> workersAsked(String step) {
+                return adviceBroker.workersAsked(step);
+            }
+
+            @Override
+            public long remainingMs(String step, String worker) {
+                return adviceBroker.remainingMs(step, worker, nowMs);
+            }
+
+            @Override
+            public double allowedShare(String queue) {
+                return adviceBroker.allowedShare(queue);
+            }
         };
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -105,6 +105,11 @@
             Metrics metrics,
             DriverSafeguards safeguards) {}
 
+    /** A number from which this leader counts, out of reach of the numbers of earlier leaders. */
+    long firstIdOfTerm() {
+        return term.number() << Integer.SIZE;
+    }
+
     void close() {
         term.close();
         sessions.values().forEach(session -> link.disconnect(session.info()));
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -11,7 +11,6 @@
 import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
-import org.lovagegrade.wire.proto.AdviceCostProto;
 import org.lovagegrade.wire.proto.StepProto;
 
 /**
@@ -24,12 +23,6 @@
 public final class Planner {
     /** The number of waiting gangs that may reserve workers in one plan. */
     private static final int MAX_GANGS_WITH_RESERVATION = 2;
-    /** The workers named in a request may raise its cost by at most this fraction of the adviser's fixed cost. */
-    private static final double MAX_COST_SHARE_OF_WORKERS = 0.4;
-    /** This many workers may be named in a request whatever they cost. */
-    private static final int MIN_WORKERS_PER_REQUEST = 8;
-    /** An adviser accepts at most this many workers in a request. */
-    private static final int MAX_WORKERS_PER_REQUEST = 100;
 
     private static final int HIGHEST_PRIORITY = -1;
 
@@ -37,7 +30,7 @@
     private final AdviceLookup advice;
     private final WorkspaceQuotas quotas;
     private final List<Placement> placements = new ArrayList<>();
-    private final List<AdviceRequest> adviceRequests = new ArrayList<>();
+    private final TicketRequests ticketRequests;
     private final Isolation isolation;
     private int gangsWithReservation;
 
@@ -53,6 +46,7 @@
         this.advice = advice;
         this.quotas = quotas;
         this.isolation = new Isolation(workers);
+        this.ticketRequests = new TicketRequests(advice);
     }
 
     /**
@@ -69,7 +63,7 @@
                 planTasks(demand);
             }
         }
-        return new Plan(List.copyOf(placements), List.copyOf(adviceRequests));
+        return new Plan(List.copyOf(placements), ticketRequests.requests());
     }
 
     // --- single tasks
@@ -126,15 +120,12 @@
         if (!isolation.mayIsolateAnother(demand)) {
             return;
         }
-        List<CandidateWorker> emptyWithoutTicket = isolation.unused(candidates.stale);
-        if (emptyWithoutTicket.isEmpty()) {
-            emptyWithoutTicket = isolation.unused(candidates.unknown);
-        }
+        List<CandidateWorker> emptyAndStale = isolation.unused(candidates.stale);
+        boolean isKnown = !emptyAndStale.isEmpty();
+        List<CandidateWorker> emptyWithoutTicket = isKnown ? emptyAndStale : isolation.unused(candidates.unknown);
         if (!emptyWithoutTicket.isEmpty()) {
             isolation.reserve(demand.job(), emptyWithoutTicket);
-            if (!advice.isPending(demand.step().name())) {
-                addAdviceRequest(demand, emptyWithoutTicket);
-            }
+            ticketRequests.requestAny(demand, emptyWithoutTicket, isKnown);
             return;
         }
         List<CandidateWorker> eligible = new ArrayList<>(candidates.allowed);
@@ -234,7 +225,7 @@
                 .toList();
         List<CandidateWorker> selected = new ArrayList<>();
         for (CandidateWorker worker : byFreeCores) {
-            int fitting = Math.min(need.timesInto(worker.free(), members), remainingStepTasks(demand, worker));
+            int fitting = fit(demand, worker, worker.free(), members);
             for (int count = 0; count < fitting && selected.size() < members; count++) {
                 selected.add(worker);
             }
@@ -310,41 +301,38 @@
      * Returns whether there is such capacity: for all members of a gang, or for at least one other task.
      */
     private boolean requestAdvice(StepDemand demand, Candidates candidates, int tasks) {
-        boolean hasNoTickets = candidates.allowed.isEmpty() && candidates.stale.isEmpty();
-        List<CandidateWorker> eligible = new ArrayList<>(candidates.allowed);
-        eligible.addAll(candidates.stale);
-        List<CandidateWorker> selected = selectWorkers(demand, eligible, tasks);
+        List<CandidateWorker> known = new ArrayList<>(candidates.allowed);
+        known.addAll(candidates.stale);
+        List<CandidateWorker> selected = selectWorkers(demand, openTo(demand, known), tasks);
         boolean isFeasible = demand.step().spec().getGang() ? selected.size() == tasks : !selected.isEmpty();
-        if (isFeasible) {
+        boolean isRequested = ticketRequests.request(
+                demand,
+                new TicketRequests.Suitable(
+                        openTo(demand, candidates.allowed),
+                        openTo(demand, candidates.stale),
+                        openTo(demand, candidates.unknown)),
+                tasks,
+                worker -> canHost(demand, worker, demand.step().perTask())
+                        ? fit(demand, worker, worker.free(), tasks)
+                        : 0,
+                worker -> fit(demand, worker, ResourceVector.of(worker.info().getCapacity()), tasks));
+        // Questions about useless work wait for long, and must not keep capacity from other work meanwhile.
+        boolean isAnswerSoon = demand.urgency() != Urgency.OVERDUE
+                || advice.isPending(demand.step().name());
+        if (isFeasible && isRequested && isAnswerSoon) {
             selected.forEach(worker -> worker.allocate(demand.step().perTask()));
         }
-        if (advice.isPending(demand.step().name())) {
-            return isFeasible;
-        }
-        if (isFeasible && !candidates.stale.isEmpty()) {
-            addAdviceRequest(demand, candidates.stale);
-        } else if (hasNoTickets || !isFeasible) {
-            addAdviceRequest(demand, candidates.unknown);
-        }
         return isFeasible;
     }
 
-    private void addAdviceRequest(StepDemand demand, List<CandidateWorker> targets) {
-        AdviceCostProto cost = demand.queue().getAdvice();
-        int maxWorkers = MAX_WORKERS_PER_REQUEST;
-        if (cost.getPerWorkerMs() > 0) {
-            long affordable = (long) (cost.getDecideMs() * MAX_COST_SHARE_OF_WORKERS / cost.getPerWorkerMs());
-            maxWorkers = (int) Math.min(MAX_WORKERS_PER_REQUEST, Math.max(MIN_WORKERS_PER_REQUEST, affordable));
-        }
-        List<String> workerIds = targets.stream()
-                .sorted(Comparator.comparingLong(worker -> -worker.free().milliCores()))
-                .limit(maxWorkers)
-                .map(CandidateWorker::id)
-                .toList();
-        if (!workerIds.isEmpty()) {
-            double costMs = cost.getDecideMs() + workerIds.size() * cost.getPerWorkerMs();
-            adviceRequests.add(new AdviceRequest(demand.step().name(), workerIds, demand.priority(), costMs));
-        }
+    /** Returns the workers that a gang may have, which are fewer if a member may crash its worker. */
+    private List<CandidateWorker> openTo(StepDemand demand, List<CandidateWorker> from) {
+        boolean isSuspectGang = demand.step().spec().getGang() && demand.hasSuspects();
+        return isSuspectGang ? isolation.openToGang(demand.job(), from) : from;
+    }
+
+    private static int fit(StepDemand demand, CandidateWorker worker, ResourceVector resources, int tasks) {
+        return Math.min(demand.step().perTask().timesInto(resources, tasks), remainingStepTasks(demand, worker));
     }
 
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -0,0 +1,263 @@
+package org.lovagegrade.graph.planning;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+import org.lovagegrade.graph.machine.ResourceVector;
+import org.lovagegrade.wire.proto.AdviceCostProto;
+
+/**
+ * Decides which questions to the adviser a plan needs. A verdict holds as long as the worker's incarnation, so that only
+ * workers without a verdict, and allowed ones whose ticket is needed again, are asked about. Capacity that an earlier
+ * question will probably use isn't counted on for the questions after it.
+ */
+final class TicketRequests {
+    /** More questions of a priority than this wait too long to be worth choosing. */
+    private static final int MAX_REQUESTS_PER_PRIORITY = 32;
+    /** The gangs that may learn verdicts and renew tickets before they fit; as many as may reserve workers. */
+    private static final int MAX_GANGS_AHEAD = 2;
+    /** A question that costs less is asked before the step fits, so that its verdicts are known once it does. */
+    private static final double LEARN_AHEAD_COST_MS = 50;
+    /** A gang isn't asked about if its members fit on the allowed workers with a lower probability. */
+    private static final double MIN_GANG_LIKELIHOOD = 0.5;
+    /** A gang renews its tickets once this fraction of its members fits: the rest is about to. */
+    private static final double NEARLY_FITS = 0.75;
+    /** A gang renews tickets for this many times the workers that it needs, since others may become free first. */
+    private static final double RENEWAL_MARGIN = 1.5;
+
+    private final AdviceLookup advice;
+    private final List<AdviceRequest> requests = new ArrayList<>();
+    private final Map<Integer, Integer> requestsByPriority = new HashMap<>();
+    /** The thousandths of a core on each worker that the steps of other questions will probably use. */
+    private final Map<String, Double> claimedMilliCores = new HashMap<>();
+
+    private int gangsAhead;
+
+    /**
+     * The workers that are suitable for a step, by the adviser's verdict.
+     *
+     * @param allowed those with a valid ticket
+     * @param stale those that were allowed before
+     * @param unknown those without a verdict
+     */
+    record Suitable(List<CandidateWorker> allowed, List<CandidateWorker> stale, List<CandidateWorker> unknown) {}
+
+    TicketRequests(AdviceLookup advice) {
+        this.advice = advice;
+    }
+
+    List<AdviceRequest> requests() {
+        return List.copyOf(requests);
+    }
+
+    /**
+     * Requests the tickets that a step needs, if a question about them is worthwhile now.
+     *
+     * @param demand the step
+     * @param suitable its workers
+     * @param tasks the number of tasks without a worker
+     * @param fit how many tasks of the step fit on a worker's free resources now
+     * @param fitWhenEmpty how many tasks of the step fit on a worker without other runs
+     * @return whether a question is pending or requested
+     */
+    boolean request(
+            StepDemand demand,
+            Suitable suitable,
+            int tasks,
+            ToIntFunction<CandidateWorker> fit,
+            ToIntFunction<CandidateWorker> fitWhenEmpty) {
+        double share = advice.allowedShare(demand.queue().getName());
+        if (advice.isPending(demand.step().name())) {
+            claimPending(demand, suitable, tasks, fit, share);
+            return true;
+        }
+        if (requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
+            return false;
+        }
+        Optional<QuestionScope> scope = scopeForStart(demand, suitable, tasks, fit, share);
+        if (scope.isEmpty() && mayAskAhead(demand)) {
+            scope = scopeForVerdicts(demand, suitable, tasks, fitWhenEmpty, share)
+                    .or(() -> scopeForRenewal(demand, suitable, tasks, fit, fitWhenEmpty));
+        }
+        scope.ifPresent(chosen -> add(demand, chosen, tasks));
+        return scope.isPresent();
+    }
+
+    /** Requests tickets for one task on any of the given workers, unless a question about its step is pending. */
+    void requestAny(StepDemand demand, List<CandidateWorker> workers, boolean isKnown) {
+        if (advice.isPending(demand.step().name())) {
+            return;
+        }
+        double probability = isKnown ? 1 : advice.allowedShare(demand.queue().getName());
+        List<TicketOption> options = options(workers, _worker -> 1, probability);
+        QuestionScope.best(options, 0, 1, false, cost(demand)).ifPresent(chosen -> add(demand, chosen, 1));
+    }
+
+    /** Selects workers with which tasks could start now; for a gang, enough that all members probably can. */
+    private Optional<QuestionScope> scopeForStart(
+            StepDemand demand, Suitable suitable, int tasks, ToIntFunction<CandidateWorker> fit, double share) {
+        boolean isGang = isGang(demand);
+        List<CandidateWorker> lasting = new ArrayList<>();
+        List<CandidateWorker> known = needingRenewal(demand, suitable, lasting);
+        int covered = isGang ? lasting.stream().mapToInt(fit).sum() : 0;
+        ToIntFunction<CandidateWorker> unclaimedFit = worker -> unclaimedFit(demand, worker, fit);
+        List<TicketOption> options = options(known, unclaimedFit, 1);
+        options.addAll(options(suitable.unknown(), unclaimedFit, share));
+        int most = covered + options.stream().mapToInt(TicketOption::tasks).sum();
+        if (covered >= tasks || (isGang && most < tasks)) {
+            return Optional.empty();
+        }
+        return QuestionScope.best(options, covered, tasks, isGang, cost(demand))
+                .filter(scope -> !isGang || scope.yield() >= MIN_GANG_LIKELIHOOD);
+    }
+
+    private boolean mayAskAhead(StepDemand demand) {
+        if (demand.urgency() == Urgency.OVERDUE) {
+            return false;
+        }
+        if (!isGang(demand)) {
+            return cost(demand).getDecideMs() < LEARN_AHEAD_COST_MS;
+        }
+        gangsAhead++;
+        return gangsAhead <= MAX_GANGS_AHEAD;
+    }
+
+    /** Selects workers without a verdict until the allowed ones could run all tasks once they are empty. */
+    private static Optional<QuestionScope> scopeForVerdicts(
+            StepDemand demand,
+            Suitable suitable,
+            int tasks,
+            ToIntFunction<CandidateWorker> fitWhenEmpty,
+            double share) {
+        int covered = suitable.allowed().stream().mapToInt(fitWhenEmpty).sum()
+                + suitable.stale().stream().mapToInt(fitWhenEmpty).sum();
+        if (covered >= tasks) {
+            return Optional.empty();
+        }
+        List<TicketOption> options = options(suitable.unknown(), fitWhenEmpty, share);
+        return QuestionScope.best(options, covered, tasks, isGang(demand), cost(demand));
+    }
+
+    /** Selects allowed workers of a gang that will probably fit by the time of the answer. */
+    private Optional<QuestionScope> scopeForRenewal(
+            StepDemand demand,
+            Suitable suitable,
+            int tasks,
+            ToIntFunction<CandidateWorker> fit,
+            ToIntFunction<CandidateWorker> fitWhenEmpty) {
+        List<CandidateWorker> lasting = new ArrayList<>();
+        List<CandidateWorker> known = needingRenewal(demand, suitable, lasting);
+        int fitting = known.stream().mapToInt(fit).sum()
+                + lasting.stream().mapToInt(fit).sum();
+        if (!isGang(demand) || known.isEmpty() || fitting < NEARLY_FITS * tasks) {
+            return Optional.empty();
+        }
+        int wanted = (int) (RENEWAL_MARGIN * tasks)
+                - lasting.stream().mapToInt(fitWhenEmpty).sum();
+        List<TicketOption> chosen = new ArrayList<>();
+        for (TicketOption option : options(known, fitWhenEmpty, 1)) {
+            if (wanted > 0) {
+                chosen.add(option);
+                wanted -= option.tasks();
+            }
+        }
+        double costMs =
+                cost(demand).getDecideMs() + chosen.size() * cost(demand).getPerWorkerMs();
+        return chosen.isEmpty() ? Optional.empty() : Optional.of(new QuestionScope(chosen, 1, costMs));
+    }
+
+    /** Returns the allowed workers whose tickets have expired or will before an answer; adds the others to a list. */
+    private List<CandidateWorker> needingRenewal(StepDemand demand, Suitable suitable, List<CandidateWorker> lasting) {
+        List<CandidateWorker> needing = new ArrayList<>(suitable.stale());
+        for (CandidateWorker worker : suitable.allowed()) {
+            boolean lasts = advice.remainingMs(demand.step().name(), worker.id())
+                    > cost(demand).getDecideMs();
+            (lasts ? lasting : needing).add(worker);
+        }
+        return needing;
+    }
+
+    /** Returns the workers that fit any task: first those that fit the most, then those with the most free cores. */
+    private static List<TicketOption> options(
+            List<CandidateWorker> workers, ToIntFunction<CandidateWorker> fit, double probability) {
+        List<TicketOption> options = new ArrayList<>();
+        for (CandidateWorker worker : workers) {
+            int tasks = fit.applyAsInt(worker);
+            if (tasks > 0) {
+                options.add(new TicketOption(worker, tasks, probability));
+            }
+        }
+        options.sort(Comparator.comparingInt(TicketOption::tasks)
+                .thenComparingLong(option -> option.worker().free().milliCores())
+                .reversed());
+        return options;
+    }
+
+    // --- claims
+
+    private int unclaimedFit(StepDemand demand, CandidateWorker worker, ToIntFunction<CandidateWorker> fit) {
+        double claimed = claimedMilliCores.getOrDefault(worker.id(), 0.0);
+        long perTask = demand.step().perTask().milliCores();
+        if (claimed <= 0 || perTask <= 0) {
+            return fit.applyAsInt(worker);
+        }
+        int fitting = (int) Math.max(0, (worker.free().milliCores() - claimed) / perTask);
+        return Math.min(fit.applyAsInt(worker), fitting);
+    }
+
+    private void claimPending(
+            StepDemand demand, Suitable suitable, int tasks, ToIntFunction<CandidateWorker> fit, double share) {
+        List<String> asked = advice.workersAsked(demand.step().name());
+        List<CandidateWorker> named = suitable.unknown().stream()
+                .filter(worker -> asked.contains(worker.id()))
+                .toList();
+        claim(demand, options(named, fit, share), tasks);
+    }
+
+    /** Spreads the wanted tasks over the named workers, by how many each will probably run. */
+    private void claim(StepDemand demand, List<TicketOption> options, int tasks) {
+        double expected = options.stream()
+                .mapToDouble(option -> option.tasks() * option.probability())
+                .sum();
+        double scale = Math.min(1, tasks / Math.max(1, expected));
+        ResourceVector perTask = demand.step().perTask();
+        for (TicketOption option : options) {
+            // The capacity for tasks on workers with a known verdict is held by the planner.
+            if (!option.isKnown()) {
+                double milliCores = option.tasks() * option.probability() * scale * perTask.milliCores();
+                claimedMilliCores.merge(option.worker().id(), milliCores, Double::sum);
+            }
+        }
+    }
+
+    private void add(StepDemand demand, QuestionScope scope, int tasks) {
+        claim(demand, scope.options(), tasks);
+        requestsByPriority.merge(demand.priority(), 1, Integer::sum);
+        double expectedTasks = scope.yield() * tasks;
+        double coreMsPerTask = demand.step().perTask().milliCores()
+                / 1_000.0
+                * demand.step().spec().getEstimateMs();
+        requests.add(new AdviceRequest(
+                demand.step().name(),
+                demand.queue().getName(),
+                scope.options().stream().map(option -> option.worker().id()).toList(),
+                demand.priority(),
+                scope.costMs(),
+                demand.urgency(),
+                Urgency.latestStartMs(
+                        demand.step().job(), demand.step().occurrence(), demand.queue(), demand.dueAtMs()),
+                expectedTasks * coreMsPerTask));
+    }
+
+    private static boolean isGang(StepDemand demand) {
+        return demand.step().spec().getGang();
+    }
+
+    private static AdviceCostProto cost(StepDemand demand) {
+        return demand.queue().getAdvice();
+    }
+}
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
@@ -34,7 +34,7 @@
      */
     public static Urgency of(JobRecord job, int occurrence, QueueProto queue, long dueAtMs, long nowMs) {
         List<StepRecord> steps = job.occurrences().get(occurrence);
-        double objectiveMs = queue.getSlackFactor() * criticalPathMs(steps, false) + queue.getCompletionTargetMs();
+        double objectiveMs = objectiveMs(steps, queue);
         double expectedMs = nowMs - dueAtMs + criticalPathMs(steps, true);
         if (expectedMs <= objectiveMs) {
             return IN_TIME;
@@ -42,6 +42,24 @@
         return expectedMs <= objectiveMs * USEFUL_FACTOR ? LATE : OVERDUE;
     }
 
+    /**
+     * Returns the latest start of an occurrence's remaining steps with which it meets its objective.
+     *
+     * @param job the job
+     * @param occurrence the number of the occurrence, from 0
+     * @param queue the job's queue
+     * @param dueAtMs when the occurrence became due, in milliseconds since 1970
+     * @return the time in milliseconds since 1970
+     */
+    static long latestStartMs(JobRecord job, int occurrence, QueueProto queue, long dueAtMs) {
+        List<StepRecord> steps = job.occurrences().get(occurrence);
+        return dueAtMs + (long) objectiveMs(steps, queue) - criticalPathMs(steps, true);
+    }
+
+    private static double objectiveMs(List<StepRecord> steps, QueueProto queue) {
+        return queue.getSlackFactor() * criticalPathMs(steps, false) + queue.getCompletionTargetMs();
+    }
+
     /** The critical path by the steps' estimates, in milliseconds, optionally without the steps that are done. */
     private static long criticalPathMs(List<StepRecord> steps, boolean onlyUnfinished) {
         long[] finishMs = new long[steps.size()];
--- a/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
@@ -4,8 +4,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lovagegrade.kernel.metrics.Metrics;
 import org.lovagegrade.wire.proto.AdviceQuestionProto;
 import org.lovagegrade.wire.proto.AdviceResultProto;
 import org.lovagegrade.wire.proto.AdviceTicketProto;
@@ -14,9 +16,21 @@
     private static final double QUICK_MS = 20;
     private static final double SLOW_MS = 900;
 
-    private final AdviceBroker broker = new AdviceBroker();
+    private final AdviceBroker broker = new AdviceBroker(1, Metrics.create());
     private final List<AdviceQuestionProto> received = new ArrayList<>();
 
+    private static QuestionWish wish(String step, int priority, double costMs, String... workers) {
+        return wish(step, new QuestionRank(false, priority, false, 1), costMs, workers);
+    }
+
+    private static QuestionWish wish(String step, QuestionRank rank, double costMs, String... workers) {
+        return new QuestionWish(step, "q", List.of(workers), rank, costMs);
+    }
+
+    private void request(long nowMs, QuestionWish... wishes) {
+        broker.replaceQueue(List.of(wishes), nowMs);
+    }
+
     private void poll(String caller, long nowMs) {
         broker.poll(caller, List.of(), received::addAll, nowMs);
     }
@@ -38,7 +52,7 @@
         void shouldBeSentToOpenPollAtOnce() {
             poll("entry-1", 0);
 
-            broker.request("j.0.0", List.of("w1", "w2"), 0, QUICK_MS, 10);
+            request(10, wish("j.0.0", 0, QUICK_MS, "w1", "w2"));
 
             assertThat(received).hasSize(1);
             assertThat(received.get(0).getWorkersList()).containsExactly("w1", "w2");
@@ -46,8 +60,7 @@
 
         @Test
         void shouldBeSentInOrderOfPriority() {
-            broker.request("later.0.0", List.of("w1"), 2, QUICK_MS, 0);
-            broker.request("urgent.0.0", List.of("w1"), 0, QUICK_MS, 1);
+            request(0, wish("later.0.0", 2, QUICK_MS, "w1"), wish("urgent.0.0", 0, QUICK_MS, "w1"));
 
             poll("entry-1", 2);
 
@@ -59,21 +72,65 @@
             for (int caller = 0; caller < 5; caller++) {
                 poll("entry-" + caller, 0);
             }
-            for (int job = 0; job < 5; job++) {
-                broker.request("slow" + job + ".0.0", List.of("w1"), 0, SLOW_MS, 1);
-            }
+            QuestionWish[] slow = IntStream.range(0, 5)
+                    .mapToObj(job -> wish("slow" + job + ".0.0", 0, SLOW_MS, "w1"))
+                    .toArray(QuestionWish[]::new);
+            request(1, slow);
             assertThat(received).hasSize(3);
 
-            broker.request("quick.0.0", List.of("w1"), 2, QUICK_MS, 2);
+            request(2, wish("quick.0.0", 2, QUICK_MS, "w1"));
 
             assertThat(received).hasSize(4);
             assertThat(received.get(3).getStep()).isEqualTo("quick.0.0");
         }
 
+        /** Guards against adviser time spent on late or useless work while other work could still be in time. */
+        @Test
+        void shouldBeOrderedByUsePriorityTimelinessAndCostOfDelay() {
+            request(
+                    0,
+                    wish("useless.0.0", new QuestionRank(true, 0, true, 9), QUICK_MS, "w1"),
+                    wish("cheap.0.0", new QuestionRank(false, 1, false, 1), QUICK_MS, "w1"),
+                    wish("late.0.0", new QuestionRank(false, 1, true, 9), QUICK_MS, "w1"),
+                    wish("costly.0.0", new QuestionRank(false, 1, false, 2), QUICK_MS, "w1"));
+
+            for (int caller = 0; caller < 4; caller++) {
+                poll("entry-" + caller, 1);
+            }
+
+            assertThat(received.stream().map(AdviceQuestionProto::getStep))
+                    .containsExactly("costly.0.0", "cheap.0.0", "late.0.0", "useless.0.0")
+                    .inOrder();
+        }
+
+        /** Guards against stale questions: a step may have started, or its workers may be taken, while it waits. */
+        @Test
+        void shouldFollowLatestPlanUntilSent() {
+            request(0, wish("gone.0.0", 0, QUICK_MS, "w1"), wish("j.0.0", 1, QUICK_MS, "w1"));
+            request(4, wish("j.0.0", 1, QUICK_MS, "w2"));
+
+            poll("entry-1", 5);
+
+            assertThat(received).hasSize(1);
+            assertThat(received.get(0).getWorkersList()).containsExactly("w2");
+        }
+
+        /** Guards against work that is useless occupying all processes during an overload. */
+        @Test
+        void shouldOccupyFewProcessesIfUseless() {
+            QuestionRank useless = new QuestionRank(true, 0, true, 1);
+            poll("entry-1", 0);
+            poll("entry-2", 0);
+
+            request(1, wish("a.0.0", useless, QUICK_MS, "w1"), wish("b.0.0", useless, QUICK_MS, "w1"));
+
+            assertThat(received).hasSize(1);
+        }
+
         @Test
         void shouldTimeOutWithoutAnswer() {
             poll("entry-1", 0);
-            broker.request("j.0.0", List.of("w1"), 0, QUICK_MS, 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1"));
 
             broker.tick(10_000);
 
@@ -86,7 +143,7 @@
         @Test
         void shouldDistinguishAllowedFromDeniedWorkers() {
             poll("entry-1", 0);
-            broker.request("j.0.0", List.of("w1", "w2"), 0, QUICK_MS, 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1", "w2"));
 
             answer("entry-1", 1, 100, "w1");
 
@@ -99,17 +156,29 @@
         @Test
         void shouldExpireAheadOfAdvisersValidity() {
             poll("entry-1", 0);
-            broker.request("j.0.0", List.of("w1"), 0, QUICK_MS, 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1"));
             answer("entry-1", 1, 100, "w1");
 
             assertThat(broker.verdict("j.0.0", "w1", 1_800)).isEqualTo(Verdict.ALLOWED);
             assertThat(broker.verdict("j.0.0", "w1", 1_950)).isEqualTo(Verdict.STALE);
         }
 
+        @Test
+        void shouldMeasureAllowedShareOfNewVerdictsOnly() {
+            poll("entry-1", 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1", "w2", "w3", "w4"));
+            answer("entry-1", 1, 100, "w1");
+            request(2_000, wish("j.0.0", 0, QUICK_MS, "w1"));
+            answer("entry-1", 2, 2_100, "w1");
+
+            assertThat(broker.allowedShare("q")).isWithin(0.001).of(2.0 / 6);
+            assertThat(broker.allowedShare("other")).isWithin(0.001).of(0.5);
+        }
+
         @Test
         void shouldBeForgottenWithWorker() {
             poll("entry-1", 0);
-            broker.request("j.0.0", List.of("w1"), 0, QUICK_MS, 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1"));
             answer("entry-1", 1, 100, "w1");
 
             broker.forgetWorker("w1");
@@ -118,6 +187,82 @@
         }
     }
 
+    @Nested
+    final class Failures {
+        /** Guards against a frozen process that keeps its question, and against losing an answer that comes late. */
+        @Test
+        void shouldReissueQuestionOfSilentProcessAndAcceptItsLateAnswer() {
+            poll("frozen", 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1", "w2"));
+            poll("entry-2", 10);
+
+            assertThat(broker.tick(500)).isTrue();
+            request(500, wish("j.0.0", 0, QUICK_MS, "w1"));
+
+            assertThat(received).hasSize(2);
+            answer("frozen", 1, 600, "w2");
+            assertThat(broker.verdict("j.0.0", "w2", 600)).isEqualTo(Verdict.ALLOWED);
+            assertThat(broker.isPending("j.0.0")).isTrue();
+        }
+
+        /** Guards against a loop of refused questions: the adviser answers 429 while too many calls wait. */
+        @Test
+        void shouldRestProcessWhoseQuestionFailed() {
+            poll("entry-1", 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1"));
+            AdviceResultProto failed =
+                    AdviceResultProto.newBuilder().setNumber(1).build();
+
+            broker.poll("entry-1", List.of(failed), received::addAll, 10);
+            request(11, wish("j.0.0", 0, QUICK_MS, "w1"));
+            assertThat(received).hasSize(1);
+
+            broker.tick(120);
+            assertThat(received).hasSize(2);
+        }
+
+        /** Guards against questions to an overloaded process while others are free. */
+        @Test
+        void shouldPreferProcessThatAnswersInTime() {
+            poll("slow", 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1"));
+            answer("slow", 1, 300, "w1");
+            poll("quick", 301);
+
+            List<AdviceQuestionProto> quick = new ArrayList<>();
+            broker.poll("quick", List.of(), quick::addAll, 302);
+            request(303, wish("k.0.0", 0, QUICK_MS, "w1"));
+
+            assertThat(quick).hasSize(1);
+        }
+
+        /** Guards against denying a restarted worker for the answer about its earlier incarnation. */
+        @Test
+        void shouldNotApplyAnswerToNextIncarnation() {
+            poll("entry-1", 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1", "w2"));
+
+            broker.forgetWorker("w1");
+            answer("entry-1", 1, 20, "w2");
+
+            assertThat(broker.verdict("j.0.0", "w1", 20)).isEqualTo(Verdict.UNKNOWN);
+            assertThat(broker.verdict("j.0.0", "w2", 20)).isEqualTo(Verdict.ALLOWED);
+        }
+
+        /** Guards against a malformed answer, and against one to a question of an earlier leader. */
+        @Test
+        void shouldIgnoreWorkersAndQuestionsThatWereNotAskedAbout() {
+            poll("entry-1", 0);
+            request(0, wish("j.0.0", 0, QUICK_MS, "w1"));
+
+            answer("entry-1", 7, 10, "w1");
+            answer("entry-1", 1, 20, "w9");
+
+            assertThat(broker.verdict("j.0.0", "w1", 20)).isEqualTo(Verdict.DENIED);
+            assertThat(broker.verdict("j.0.0", "w9", 20)).isEqualTo(Verdict.UNKNOWN);
+        }
+    }
+
     @Nested
     final class Polls {
         @Test
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -40,6 +40,7 @@
     private static final class FakeAdvice implements AdviceLookup {
         private final Map<String, Verdict> verdicts = new HashMap<>();
         private final Set<String> pending = new HashSet<>();
+        private long remainingMs = Long.MAX_VALUE;
 
         @Override
         public Verdict verdict(String step, String worker) {
@@ -50,6 +51,11 @@
         public boolean isPending(String step) {
             return pending.contains(step);
         }
+
+        @Override
+        public long remainingMs(String step, String worker) {
+            return verdict(step, worker) == Verdict.ALLOWED ? remainingMs : 0;
+        }
     }
 
     private void addWorker(String id, long freeMilliCores, String rack, String label) {
@@ -377,6 +383,78 @@
                     .isEmpty();
         }
 
+        /** Guards against adviser time spent on workers that have no capacity for the step. */
+        @Test
+        void shouldNotNameFullWorkers() {
+            addWorker("full", 500, "r1", "a");
+            assertThat(plan(demand("j", 0, true, step(1, 1_000))).adviceRequests())
+                    .isEmpty();
+
+            addWorker("free", 1_000, "r1", "a");
+            assertThat(plan(demand("k", 0, true, step(1, 1_000)))
+                            .adviceRequests()
+                            .get(0)
+                            .workers())
+                    .containsExactly("free");
+        }
+
+        /** Guards against questions about more steps than the free capacity can take. */
+        @Test
+        void shouldNotCountOnCapacityThatEarlierQuestionWillUse() {
+            addWorker("w1", 1_000, "r1", "a");
+            advice.pending.add("first.0.0");
+
+            Plan plan = plan(demand("second", 1, true, step(4, 1_000)), demand("third", 1, true, step(1, 1_000)));
+
+            assertThat(plan.adviceRequests().stream().map(AdviceRequest::step)).containsExactly("second.0.0");
+        }
+
+        /** Guards against asking again and again about a gang that can't start whatever the answer is. */
+        @Test
+        void shouldNotAskForGangThatFitsOnNoWorkersOnceVerdictsAreKnown() {
+            addWorker("allowed", 1_000, "r1", "a");
+            addWorker("unknown", 1_000, "r1", "a");
+            advice.verdicts.put("g.0.0@allowed", Verdict.STALE);
+
+            assertThat(plan(demand("g", 0, true, step(4, 1_000).setGang(true))).adviceRequests())
+                    .isEmpty();
+        }
+
+        /** Guards against a gang that never holds all tickets at once, since some expire while others are requested. */
+        @Test
+        void shouldRenewTicketsOfGangThatExpireBeforeAnswer() {
+            addWorker("stale", 1_000, "r1", "a");
+            addWorker("expiring", 1_000, "r1", "a");
+            addWorker("unneeded", 500, "r1", "a");
+            advice.verdicts.put("g.0.0@stale", Verdict.STALE);
+            advice.verdicts.put("g.0.0@expiring", Verdict.ALLOWED);
+            advice.remainingMs = 50;
+
+            Plan plan = plan(demand("g", 0, true, step(2, 1_000).setGang(true)));
+
+            assertThat(plan.adviceRequests().get(0).workers()).containsExactly("stale", "expiring");
+        }
+
+        /** Guards against idle capacity: questions about useless work may wait for long. */
+        @Test
+        void shouldNotHoldCapacityOfUselessWork() {
+            addWorker("w1", 1_000, "r1", "a");
+            advice.verdicts.put("first.0.0@w1", Verdict.STALE);
+            StepDemand first = demand("first", 0, true, step(1, 1_000));
+            StepDemand useless = new StepDemand(
+                    first.step(),
+                    first.queue(),
+                    first.waiting(),
+                    Urgency.OVERDUE,
+                    0,
+                    first.isSuspect(),
+                    first.avoidedWorkers());
+
+            Plan plan = plan(useless, demand("second", 2, false, step(1, 1_000)));
+
+            assertThat(workersOf(plan)).containsExactly("w1");
+        }
+
         @Test
         void shouldHoldCapacityOfStepThatWaitsOnlyForTicket() {
             addWorker("w1", 1_000, "r1", "a");
