--- a/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
@@ -53,6 +53,20 @@
         return queue.getSlackFactor() * criticalPathMs(steps, false) + queue.getCompletionTargetMs();
     }
 
+    /**
+     * Returns the latest start of an occurrence's remaining steps with which it meets its objective.
+     *
+     * @param job the job
+     * @param occurrence the number of the occurrence, from 0
+     * @param queue the job's queue
+     * @param dueAtMs when the occurrence became due, in milliseconds since 1970
+     * @return the time in milliseconds since 1970
+     */
+    static long latestStartMs(JobRecord job, int occurrence, QueueProto queue, long dueAtMs) {
+        List<StepRecord> steps = job.occurrences().get(occurrence);
+        return dueAtMs + (long) objectiveMs(steps, queue) - criticalPathMs(steps, true);
+    }
+
     /** The critical path by the steps' estimates, in milliseconds, optionally without the steps that are done. */
     private static long criticalPathMs(List<StepRecord> steps, boolean onlyUnfinished) {
         long[] finishMs = new long[steps.size()];
