Evacuation of failure domains in the core engine and the replicated configuration

Operators had no way to stop new starts in a failure domain of the product's own fleet. Attempts that were placed there but not sent are withdrawn; a heartbeat answer to such a worker contains only attempts that it reports. An attempt whose end the leader has proposed is no longer sent while the end is not committed. The refusal of an unknown name is replicated under the request id.

--- a/cli/src/main/java/org/lovagegrade/cli/CliMain.java
+++ b/cli/src/main/java/org/lovagegrade/cli/CliMain.java
@@ -12,6 +12,7 @@
 import org.apache.commons.cli.ParseException;
 import org.lovagegrade.cli.audit.LogsCommand;
 import org.lovagegrade.cli.commands.ConfigCommands;
+import org.lovagegrade.cli.commands.EvacuateCommand;
 import org.lovagegrade.cli.commands.JobCommands;
 import org.lovagegrade.cli.trace.TraceCommand;
 import org.lovagegrade.kernel.CommandHelp;
@@ -28,6 +29,7 @@
         this.out = out;
         this.err = err;
         commands.addAll(ConfigCommands.all());
+        commands.add(EvacuateCommand.command());
         commands.addAll(JobCommands.all());
         commands.add(TraceCommand.command());
         commands.add(LogsCommand.command());
--- a/cli/src/main/java/org/lovagegrade/cli/commands/ConfigCommands.java
+++ b/cli/src/main/java/org/lovagegrade/cli/commands/ConfigCommands.java
@@ -18,7 +18,8 @@
 
 /** The commands with which operators change workspaces, work classes and keys. */
 public final class ConfigCommands {
-    private static final String BASE_REVISION = "base-revision";
+    static final String BASE_REVISION = "base-revision";
+
     private static final int SECRET_BYTES = 24;
 
     private ConfigCommands() {}
@@ -56,7 +57,7 @@
         ObjectNode build(Session session) throws UsageException;
     }
 
-    private static Options baseOptions() {
+    static Options baseOptions() {
         Options options = new Options();
         options.addOption(
                 null, BASE_REVISION, true, "the revision that the change is based on; default: the current one");
@@ -168,15 +169,15 @@
     }
 
     private static ExitCode put(Session session, String collection, ObjectNode body) throws UsageException {
-        return send(session, "PUT", collection, body.toString());
+        return send(session, "PUT", collection, Arguments.required(session, 1, "an id"), body.toString());
     }
 
     private static ExitCode delete(Session session, String collection) throws UsageException {
-        return send(session, "DELETE", collection, "");
+        return send(session, "DELETE", collection, Arguments.required(session, 1, "an id"), "");
     }
 
-    private static ExitCode send(Session session, String method, String collection, String body) throws UsageException {
-        String id = Arguments.required(session, 1, "an id");
+    /** Sends a change of an object, based on its current revision unless the command line names another. */
+    static ExitCode send(Session session, String method, String collection, String id, String body) {
         ApiRequest request = ApiRequest.command(method, "/v1/" + collection + "/" + id, session.requestId(collection))
                 .withBody(body);
         if (session.hasOption(BASE_REVISION)) {
--- a/cli/src/test/java/org/lovagegrade/cli/CliMainTest.java
+++ b/cli/src/test/java/org/lovagegrade/cli/CliMainTest.java
@@ -33,6 +33,9 @@
             assertThat(run("team", "set", "norte", "--share", "half")).isEqualTo(ExitCode.BAD_USAGE);
             assertThat(run("key", "give", "k1")).isEqualTo(ExitCode.BAD_USAGE);
             assertThat(run("explain")).isEqualTo(ExitCode.BAD_USAGE);
+            assertThat(run("evacuate")).isEqualTo(ExitCode.BAD_USAGE);
+            assertThat(run("evacuate", "a", "b")).isEqualTo(ExitCode.BAD_USAGE);
+            assertThat(run("evacuate", "a", "--show")).isEqualTo(ExitCode.BAD_USAGE);
             assertThat(err.toString(StandardCharsets.UTF_8)).contains("expected: --class CLASS");
         }
     }
@@ -41,8 +44,9 @@
     final class Help {
         @Test
         void shouldBePrintedForEveryCommand() {
-            for (String command :
-                    new String[] {"team", "class", "key", "submit", "cancel", "show", "explain", "status", "call"}) {
+            for (String command : new String[] {
+                "team", "class", "key", "evacuate", "submit", "cancel", "show", "explain", "status", "call"
+            }) {
                 assertThat(run(command, "--help")).isEqualTo(ExitCode.SUCCESS);
             }
             assertThat(run("--help")).isEqualTo(ExitCode.SUCCESS);
--- a/core/src/main/java/org/lovagegrade/core/Event.java
+++ b/core/src/main/java/org/lovagegrade/core/Event.java
@@ -50,6 +50,14 @@
      */
     record WorkerLeaving(String worker) implements Event {}
 
+    /**
+     * A failure domain was evacuated or returned to service; what runs there continues.
+     *
+     * @param failureDomain the failure domain
+     * @param active whether its workers get no new attempts from now on
+     */
+    record EvacuationSet(String failureDomain, boolean active) implements Event {}
+
     /**
      * A job was submitted.
      *
--- a/core/src/main/java/org/lovagegrade/core/internal/Cell.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Cell.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -30,6 +31,7 @@
     private final TreeSet<WorkerState> workersWithNewCapacity = new TreeSet<>(WorkerState.BY_ID);
     private final TreeSet<WorkerState> suspects = new TreeSet<>(WorkerState.BY_ID);
     private final TreeSet<JobState> unschedulableJobs = new TreeSet<>((a, b) -> Long.compare(a.sequence, b.sequence));
+    private final Set<String> evacuatedDomains = new HashSet<>();
     private final TreeSet<WorkerState> reservedWorkers = new TreeSet<>(WorkerState.BY_ID);
     private final SizeCorrection sizeCorrection = new SizeCorrection();
     private final Map<Resources, Integer> workerCountByCapacity = new HashMap<>();
@@ -105,7 +107,10 @@
         return workersWithNewCapacity;
     }
 
-    /** Total capacity of the responsive workers, including those that are leaving or suspect. */
+    /**
+     * Total capacity of the responsive workers, including those that are leaving or suspect. Workers of evacuated failure
+     * domains are excluded, since shares are parts of what can be used.
+     */
     Resources responsiveCapacity() {
         return responsiveCapacity;
     }
@@ -172,6 +177,7 @@
         workerCountByCapacity.merge(spec.capacity(), 1, Integer::sum);
         worker.unresponsive = false;
         worker.leaving = false;
+        worker.evacuated = evacuatedDomains.contains(spec.failureDomain());
         addToIndexes(worker);
         return worker;
     }
@@ -197,6 +203,26 @@
         addToIndexes(worker);
     }
 
+    /** Evacuates a failure domain or returns it to service; also applies to workers of it that are added later. */
+    void setEvacuated(String failureDomain, boolean evacuated) {
+        boolean changed = evacuated ? evacuatedDomains.add(failureDomain) : evacuatedDomains.remove(failureDomain);
+        if (!changed) {
+            return;
+        }
+        for (WorkerState worker : workers.values()) {
+            if (!worker.spec.failureDomain().equals(failureDomain)) {
+                continue;
+            }
+            if (worker.reservedFor != null) {
+                // What is left of the reservation may be too small for the job, so it is given up as a whole.
+                unreserveAll(worker.reservedFor);
+            }
+            removeFromIndexes(worker);
+            worker.evacuated = evacuated;
+            addToIndexes(worker);
+        }
+    }
+
     /** Applies a change of a worker's health, which may change whether the worker accepts new attempts. */
     void changeHealth(WorkerState worker, Runnable change) {
         removeFromIndexes(worker);
@@ -339,13 +365,17 @@
         }
     }
 
+    private static boolean countsTowardCapacity(WorkerState worker) {
+        return !worker.unresponsive && !worker.evacuated;
+    }
+
     private static boolean countsTowardFreeCapacity(WorkerState worker) {
         return worker.isUsable();
     }
 
     /** Removes a worker from totals and indexes; must be called before a change of its state. */
     private void removeFromIndexes(WorkerState worker) {
-        if (!worker.unresponsive) {
+        if (countsTowardCapacity(worker)) {
             responsiveCapacity = responsiveCapacity.minus(worker.spec.capacity());
         }
         if (countsTowardFreeCapacity(worker)) {
@@ -358,7 +388,7 @@
 
     /** Adds a worker to totals and indexes after a change of its state. */
     private void addToIndexes(WorkerState worker) {
-        if (!worker.unresponsive) {
+        if (countsTowardCapacity(worker)) {
             responsiveCapacity = responsiveCapacity.plus(worker.spec.capacity());
         }
         if (worker.health.isSuspect()) {
--- a/core/src/main/java/org/lovagegrade/core/internal/Engine.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Engine.java
@@ -57,6 +57,8 @@
             workspaceSet(e.workspace(), nowMs);
         } else if (event instanceof Event.ClassSet e) {
             cell.setClass(e.workClass());
+        } else if (event instanceof Event.EvacuationSet e) {
+            cell.setEvacuated(e.failureDomain(), e.active());
         } else if (event instanceof Event.WorkerAnnounced e) {
             workerAnnounced(e.worker(), nowMs);
         } else if (event instanceof Event.WorkerResponsive e) {
--- a/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/EngineView.java
@@ -1,5 +1,6 @@
 package org.lovagegrade.core.internal;
 
+import java.util.List;
 import java.util.function.Consumer;
 import org.lovagegrade.core.Limits;
 import org.lovagegrade.core.Resources;
@@ -84,7 +85,21 @@
     }
 
     /**
-     * Returns the total capacity of the responsive workers, including those that are leaving or suspect.
+     * Lists the workers of a failure domain, unresponsive ones included.
+     *
+     * @param failureDomain the failure domain
+     * @return their ids, sorted
+     */
+    public List<String> workersOf(String failureDomain) {
+        return cell.workers().stream()
+                .filter(worker -> worker.spec.failureDomain().equals(failureDomain))
+                .map(worker -> worker.spec.id())
+                .toList();
+    }
+
+    /**
+     * Returns the total capacity of the responsive workers, including those that are leaving or suspect, without those
+     * of evacuated failure domains.
      *
      * @return the sum of their capacities
      */
--- a/core/src/main/java/org/lovagegrade/core/internal/Placement.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Placement.java
@@ -220,7 +220,7 @@
     /** Places single tasks as probes on suspect workers whose probe delay has passed. */
     private void probeSuspects(long nowMs) {
         for (WorkerState worker : List.copyOf(cell.suspects())) {
-            if (worker.unresponsive || worker.leaving || !worker.health.isSuspect()) {
+            if (!worker.acceptsProbes() || !worker.health.isSuspect()) {
                 continue;
             }
             if (worker.health.awaitsProbe(nowMs)) {
--- a/core/src/main/java/org/lovagegrade/core/internal/WorkerState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WorkerState.java
@@ -16,6 +16,9 @@
     Resources free;
     boolean unresponsive;
     boolean leaving;
+    /** Whether its failure domain is evacuated. */
+    boolean evacuated;
+
     JobState reservedFor;
     /** The isolated job whose tasks run here, if there is one. */
     JobState isolatedFor;
@@ -35,6 +38,11 @@
 
     /** Whether the worker accepts new attempts other than probes. */
     boolean isUsable() {
-        return !unresponsive && !leaving && !health.isSuspect();
+        return acceptsProbes() && !health.isSuspect();
+    }
+
+    /** Whether the worker accepts new attempts, if only probes while it is suspect. */
+    boolean acceptsProbes() {
+        return !unresponsive && !leaving && !evacuated;
     }
 }
--- a/entry/src/main/java/org/lovagegrade/entry/http/ConfigHandlers.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/ConfigHandlers.java
@@ -15,11 +15,12 @@
 import org.lovagegrade.wire.proto.CommandProto;
 import org.lovagegrade.wire.proto.ConfigChangeProto;
 import org.lovagegrade.wire.proto.ConfigureProto;
+import org.lovagegrade.wire.proto.EvacuationProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
 import org.lovagegrade.wire.proto.WorkspaceKeyProto;
 import org.lovagegrade.wire.proto.WorkspaceProto;
 
-/** Handles changes and views of workspaces, work classes and keys, for operators only. */
+/** Handles changes and views of workspaces, work classes, keys and evacuations, for operators only. */
 final class ConfigHandlers {
     private static final double MAX_CORES = 1e9;
     private static final double MILLI_CORES_PER_CORE = 1_000;
@@ -109,6 +110,21 @@
         change(request, ConfigChangeProto.newBuilder().setWithdrawKey(request.pathParameter("id")), reply);
     }
 
+    void evacuate(ApiRequest request, Consumer<ApiResponse> reply) {
+        change(request, evacuation(request, true), reply);
+    }
+
+    void endEvacuation(ApiRequest request, Consumer<ApiResponse> reply) {
+        change(request, evacuation(request, false), reply);
+    }
+
+    private static ConfigChangeProto.Builder evacuation(ApiRequest request, boolean active) {
+        return ConfigChangeProto.newBuilder()
+                .setSetEvacuation(EvacuationProto.newBuilder()
+                        .setFailureDomain(request.pathParameter("id"))
+                        .setActive(active));
+    }
+
     void show(ApiRequest request, Consumer<ApiResponse> reply) {
         if (!operatorKeys.isOperator(request)) {
             reply.accept(notOperator());
@@ -127,6 +143,14 @@
                         .put("id", key.getId())
                         .put("team", key.getWorkspace())
                         .put("revision", key.getRevision()));
+        ArrayNode evacuations = body.putArray("evacuations");
+        view.config()
+                .getEvacuationsList()
+                .forEach(evacuation -> evacuations
+                        .addObject()
+                        .put("id", evacuation.getFailureDomain())
+                        .put("active", evacuation.getActive())
+                        .put("revision", evacuation.getRevision()));
         reply.accept(ApiResponse.ok(body));
     }
 
--- a/entry/src/main/java/org/lovagegrade/entry/http/EntryHttp.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/EntryHttp.java
@@ -78,7 +78,8 @@
                 new ConfigHandlers(leader, operatorKeys, dependencies.views()),
                 new JobHandlers(leader, operatorKeys, dependencies.views(), calls),
                 new CallHandler(calls, dependencies.views(), dependencies.clock()),
-                new PlatformHandlers(new HeartbeatRelay(dependencies.state(), loop), dependencies.directory()));
+                new PlatformHandlers(new HeartbeatRelay(dependencies.state(), loop), dependencies.directory()),
+                new EvacuationView(leader, operatorKeys, dependencies.views()));
         this.server = Undertow.builder()
                 .addHttpListener(
                         dependencies.listen().port(), dependencies.listen().host())
@@ -125,7 +126,11 @@
     }
 
     private RoutingHandler routes(
-            ConfigHandlers config, JobHandlers jobs, CallHandler call, PlatformHandlers platform) {
+            ConfigHandlers config,
+            JobHandlers jobs,
+            CallHandler call,
+            PlatformHandlers platform,
+            EvacuationView evacuations) {
         RoutingHandler routes = new RoutingHandler();
         add(routes, Methods.PUT, "/v1/teams/{id}", config::setWorkspace);
         add(routes, Methods.DELETE, "/v1/teams/{id}", config::removeWorkspace);
@@ -133,6 +138,9 @@
         add(routes, Methods.DELETE, "/v1/classes/{id}", config::removeClass);
         add(routes, Methods.PUT, "/v1/keys/{id}", config::giveKey);
         add(routes, Methods.DELETE, "/v1/keys/{id}", config::withdrawKey);
+        add(routes, Methods.PUT, "/v1/evacuations/{id}", config::evacuate);
+        add(routes, Methods.DELETE, "/v1/evacuations/{id}", config::endEvacuation);
+        add(routes, Methods.GET, "/v1/evacuations", evacuations::show);
         add(routes, Methods.GET, "/v1/config", config::show);
         add(routes, Methods.POST, "/v1/jobs", jobs::submit);
         add(routes, Methods.GET, "/v1/jobs", jobs::list);
--- a/entry/src/main/java/org/lovagegrade/entry/http/LeaderGateway.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/LeaderGateway.java
@@ -84,7 +84,7 @@
         return switch (reason) {
             case "wrongKey" -> StatusCodes.UNAUTHORIZED;
             case "keyOfOtherTeam" -> StatusCodes.FORBIDDEN;
-            case "unknownJob", "unknownTeam", "unknownClass", "unknownKeyId" -> StatusCodes.NOT_FOUND;
+            case "unknownJob", "unknownTeam", "unknownClass", "unknownKeyId", "unknownDomain" -> StatusCodes.NOT_FOUND;
             case "duplicateJob", "stillInUse", "jobIsOver" -> StatusCodes.CONFLICT;
             default -> StatusCodes.BAD_REQUEST;
         };
--- a/state/src/main/java/org/lovagegrade/state/machine/ConfigObject.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/ConfigObject.java
@@ -20,6 +20,7 @@
             case REMOVE_CLASS -> "class/" + change.getRemoveClass();
             case GIVE_KEY -> "key/" + change.getGiveKey().getId();
             case WITHDRAW_KEY -> "key/" + change.getWithdrawKey();
+            case SET_EVACUATION -> "domain/" + change.getSetEvacuation().getFailureDomain();
             default -> "none/";
         };
     }
--- a/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
@@ -20,6 +20,8 @@
     UNKNOWN_KEY_ID("unknownKeyId"),
     /** A job with this id already exists. */
     DUPLICATE_JOB("duplicateJob"),
+    /** No worker and no entry has this failure domain. */
+    UNKNOWN_DOMAIN("unknownDomain"),
     /** A value is missing or out of range. */
     BAD_VALUE("badValue"),
     /** Other objects or jobs still use the object. */
--- a/state/src/main/java/org/lovagegrade/state/machine/StateMachine.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/StateMachine.java
@@ -19,6 +19,7 @@
 import org.lovagegrade.wire.proto.ConfigureProto;
 import org.lovagegrade.wire.proto.DecisionProto;
 import org.lovagegrade.wire.proto.EntryMemberProto;
+import org.lovagegrade.wire.proto.EvacuationProto;
 import org.lovagegrade.wire.proto.JobProto;
 import org.lovagegrade.wire.proto.JobSpecProto;
 import org.lovagegrade.wire.proto.MachineSnapshotProto;
@@ -180,6 +181,17 @@
         return Map.copyOf(entries);
     }
 
+    /**
+     * Whether a failure domain is evacuated.
+     *
+     * @param failureDomain the failure domain
+     * @return true from the application of its evacuation until that of its return to service
+     */
+    public boolean isEvacuated(String failureDomain) {
+        EvacuationProto evacuation = config.evacuation(failureDomain);
+        return evacuation != null && evacuation.getActive();
+    }
+
     /**
      * Finds the workspace that a key belongs to.
      *
@@ -289,6 +301,10 @@
     }
 
     private ApplyResult applyDecisions(CommandProto command) {
+        Optional<OutcomeProto> refusal = LeaderRefusals.outcomeOf(command);
+        if (refusal.isPresent()) {
+            return result(command, refusal.get());
+        }
         List<DecisionProto> staleDecisions = new ArrayList<>();
         for (DecisionProto decision : command.getDecisions().getDecisionsList()) {
             if (!jobs.apply(decision, command.getAtMs())) {
--- a/state/src/main/java/org/lovagegrade/state/machine/internal/ConfigStore.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/internal/ConfigStore.java
@@ -11,13 +11,14 @@
 import org.lovagegrade.wire.proto.ConfigChangeProto;
 import org.lovagegrade.wire.proto.ConfigViewProto;
 import org.lovagegrade.wire.proto.ConfigureProto;
+import org.lovagegrade.wire.proto.EvacuationProto;
 import org.lovagegrade.wire.proto.OutcomeProto;
 import org.lovagegrade.wire.proto.WorkClassProto;
 import org.lovagegrade.wire.proto.WorkspaceKeyProto;
 import org.lovagegrade.wire.proto.WorkspaceProto;
 
 /**
- * Workspaces, work classes and keys. Changes use optimistic concurrency: each is based on a revision of its object,
+ * Workspaces, work classes, keys and evacuations of failure domains. Changes use optimistic concurrency: each is based on a revision of its object,
  * and of two changes based on the same revision only the first is applied.
  */
 public final class ConfigStore {
@@ -27,6 +28,9 @@
     private final TreeMap<String, WorkClassProto> classes = new TreeMap<>();
     private final TreeMap<String, WorkspaceKeyProto> keys = new TreeMap<>();
     private final Map<String, WorkspaceKeyProto> keysByDigest = new HashMap<>();
+    /** The last order about each failure domain, also if the domain was returned to service. */
+    private final TreeMap<String, EvacuationProto> evacuations = new TreeMap<>();
+
     private final TreeMap<String, ChangeAuthorProto> authors = new TreeMap<>();
     private long revision;
 
@@ -59,6 +63,16 @@
         return classes.get(id);
     }
 
+    /**
+     * Finds the last order about a failure domain.
+     *
+     * @param failureDomain the failure domain
+     * @return the order, or null if the domain was never evacuated
+     */
+    public EvacuationProto evacuation(String failureDomain) {
+        return evacuations.get(failureDomain);
+    }
+
     /**
      * Finds the workspace that a key belongs to.
      *
@@ -80,6 +94,7 @@
                 .addAllWorkspaces(workspaces.values())
                 .addAllClasses(classes.values())
                 .addAllKeys(keys.values())
+                .addAllEvacuations(evacuations.values())
                 .build();
     }
 
@@ -102,6 +117,7 @@
         view.getWorkspacesList().forEach(workspace -> workspaces.put(workspace.getId(), workspace));
         view.getClassesList().forEach(workClass -> classes.put(workClass.getId(), workClass));
         view.getKeysList().forEach(this::putKey);
+        view.getEvacuationsList().forEach(evacuation -> evacuations.put(evacuation.getFailureDomain(), evacuation));
         lastAuthors.forEach(author -> authors.put(author.getObject(), author));
         revision = view.getRevision();
     }
@@ -147,6 +163,7 @@
         Object value = switch (object.substring(0, separator)) {
             case "team" -> workspaces.get(id);
             case "class" -> classes.get(id);
+            case "domain" -> evacuations.get(id);
             default -> keys.containsKey(id) ? "a key of team " + keys.get(id).getWorkspace() : null;
         };
         return value == null
@@ -163,6 +180,8 @@
             case REMOVE_CLASS -> revisionOf(classes.get(change.getRemoveClass()));
             case GIVE_KEY -> revisionOf(keys.get(change.getGiveKey().getId()));
             case WITHDRAW_KEY -> revisionOf(keys.get(change.getWithdrawKey()));
+            case SET_EVACUATION ->
+                revisionOf(evacuations.get(change.getSetEvacuation().getFailureDomain()));
             default -> 0;
         };
     }
@@ -179,6 +198,10 @@
         return key == null ? 0 : key.getRevision();
     }
 
+    private static long revisionOf(EvacuationProto evacuation) {
+        return evacuation == null ? 0 : evacuation.getRevision();
+    }
+
     private Optional<OutcomeProto> validate(ConfigChangeProto change) {
         return switch (change.getChangeCase()) {
             case SET_WORKSPACE -> validateWorkspace(change.getSetWorkspace());
@@ -193,6 +216,10 @@
                 keys.containsKey(change.getWithdrawKey())
                         ? Optional.empty()
                         : refuse(RefusalReason.UNKNOWN_KEY_ID, change.getWithdrawKey());
+            case SET_EVACUATION ->
+                change.getSetEvacuation().getFailureDomain().isEmpty()
+                        ? refuse(RefusalReason.BAD_VALUE, "expected: a failure domain; actual: none")
+                        : Optional.empty();
             default -> refuse(RefusalReason.BAD_VALUE, "expected: one change; actual: none");
         };
     }
@@ -269,6 +296,12 @@
             case GIVE_KEY ->
                 putKey(change.getGiveKey().toBuilder().setRevision(revision).build());
             case WITHDRAW_KEY -> removeKey(change.getWithdrawKey());
+            case SET_EVACUATION ->
+                evacuations.put(
+                        change.getSetEvacuation().getFailureDomain(),
+                        change.getSetEvacuation().toBuilder()
+                                .setRevision(revision)
+                                .build());
             default -> throw new IllegalStateException("expected: a validated change\n  actual: " + change);
         }
     }
--- a/state/src/main/java/org/lovagegrade/state/replica/AuditLog.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/AuditLog.java
@@ -12,7 +12,8 @@
     private AuditLog() {}
 
     static void write(ApplyResult result, long index) {
-        if (result.command().hasDecisions()) {
+        boolean isRequest = !result.command().getRequestId().isEmpty();
+        if (result.command().hasDecisions() && !isRequest) {
             writeDecisions(result, index);
         } else {
             writeCommand(result, index);
@@ -60,6 +61,7 @@
             case CONFIGURE -> ConfigObject.nameOf(command.getConfigure().getChange());
             case ENTRY_JOINED -> command.getEntryJoined().getId();
             case ENTRY_LEFT -> command.getEntryLeft();
+            case DECISIONS -> command.getDecisions().getDecisions(0).getJob();
             default -> "";
         };
     }
--- a/state/src/main/java/org/lovagegrade/state/replica/FleetApplication.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/FleetApplication.java
@@ -7,9 +7,11 @@
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.metrics.Metrics;
 import org.lovagegrade.state.machine.ApplyResult;
+import org.lovagegrade.state.machine.LeaderRefusals;
 import org.lovagegrade.state.machine.RefusalReason;
 import org.lovagegrade.state.machine.StateMachine;
 import org.lovagegrade.state.scheduling.EntryViews;
+import org.lovagegrade.state.scheduling.Evacuations;
 import org.lovagegrade.state.scheduling.LeaderScheduler;
 import org.lovagegrade.state.scheduling.StatusQueries;
 import org.lovagegrade.wire.proto.CommandProto;
@@ -95,8 +97,7 @@
     @Override
     public boolean handle(EnvelopeProto request, Consumer<EnvelopeProto> reply, long nowMs) {
         switch (request.getBodyCase()) {
-            case COMMAND_REQUEST ->
-                leadership.propose(timestamped(request.getCommandRequest().getCommand().toBuilder()), reply);
+            case COMMAND_REQUEST -> handleCommand(request.getCommandRequest().getCommand(), reply, nowMs);
             case HEARTBEAT_BATCH ->
                 reply.accept(EnvelopeProto.newBuilder()
                         .setHeartbeatAnswer(scheduler.handleHeartbeats(request.getHeartbeatBatch(), nowMs))
@@ -124,6 +125,24 @@
         return NotLeaderReplies.forRequest(request, leader);
     }
 
+    private void handleCommand(CommandProto command, Consumer<EnvelopeProto> reply, long nowMs) {
+        String failureDomain =
+                command.getConfigure().getChange().getSetEvacuation().getFailureDomain();
+        Evacuations.Knowledge knowledge = failureDomain.isEmpty()
+                ? Evacuations.Knowledge.KNOWN
+                : scheduler.evacuations().knowledgeOf(failureDomain, nowMs);
+        switch (knowledge) {
+            case KNOWN -> leadership.propose(timestamped(command.toBuilder()), reply);
+            case UNKNOWN ->
+                leadership.propose(
+                        timestamped(LeaderRefusals.unknownDomain(command.getRequestId(), failureDomain)), reply);
+            case NOT_YET_KNOWN ->
+                // The entry tries again until this leader knows its workers.
+                notLeaderReply(EnvelopeProto.BodyCase.COMMAND_REQUEST, leadership.leader())
+                        .ifPresent(reply);
+        }
+    }
+
     private void proposeOwn(CommandProto.Builder command) {
         leadership.propose(timestamped(command));
     }
--- a/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
@@ -45,6 +45,7 @@
     private final LeaseTable leases = new LeaseTable();
     private final WorkerRegistry workers = new WorkerRegistry();
     private final HeartbeatResponder responder;
+    private final Evacuations evacuations;
     private final long wallOffsetMs;
 
     /**
@@ -62,6 +63,7 @@
         this.proposer = proposer;
         this.metrics = metrics;
         this.responder = new HeartbeatResponder(machine, leases);
+        this.evacuations = new Evacuations(machine, scheduler, responder, nowMs);
         this.wallOffsetMs = wallMs - nowMs;
         machine.configView()
                 .getWorkspacesList()
@@ -70,6 +72,7 @@
         machine.configView()
                 .getClassesList()
                 .forEach(workClass -> scheduler.apply(nowMs, new Event.ClassSet(ProtoMapping.workClass(workClass))));
+        evacuations.restore(nowMs);
         machine.jobs().forEach(job -> restoreJob(job.build(), nowMs));
         decide(nowMs);
     }
@@ -95,6 +98,8 @@
                     new Event.JobSubmitted(ProtoMapping.job(command.getSubmit().getSpec(), nowMs)));
         } else if (command.hasCancel() && isOk) {
             scheduler.apply(nowMs, new Event.JobCancelled(command.getCancel().getJob()));
+        } else if (command.hasDecisions()) {
+            command.getDecisions().getDecisionsList().forEach(responder::decisionApplied);
         }
     }
 
@@ -143,6 +148,15 @@
         return scheduler.explain(job, nowMs);
     }
 
+    /**
+     * Returns the evacuations that this leader has put in force.
+     *
+     * @return the evacuations
+     */
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
     /**
      * Returns the scheduler, for read access by status queries.
      *
@@ -157,6 +171,8 @@
             scheduler.apply(nowMs, new Event.WorkspaceSet(ProtoMapping.workspace(change.getSetWorkspace())));
         } else if (change.hasSetClass()) {
             scheduler.apply(nowMs, new Event.ClassSet(ProtoMapping.workClass(change.getSetClass())));
+        } else if (change.hasSetEvacuation()) {
+            evacuations.applied(change.getSetEvacuation(), nowMs);
         }
     }
 
@@ -243,7 +259,10 @@
     private void trackDecision(Decision decision, long nowMs) {
         metrics.count("lovagegrade_decisions_" + decision.action().text(), decision.reason());
         switch (decision.action()) {
-            case PLACE -> leases.granted(decision.toAttempt(), nowMs, decision.leaseMs());
+            case PLACE -> {
+                leases.granted(decision.toAttempt(), nowMs, decision.leaseMs());
+                responder.attemptPlaced(decision.toAttempt());
+            }
             case CHECKPOINT -> responder.requestCheckpoint(decision.toAttempt());
             case END, LEASE_EXPIRED -> attemptFinished(decision.toAttempt());
             case FAIL -> {
--- a/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
+++ b/state/src/test/java/org/lovagegrade/state/machine/StateMachineTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -12,8 +13,10 @@
 import org.lovagegrade.wire.proto.DecisionActionProto;
 import org.lovagegrade.wire.proto.DecisionProto;
 import org.lovagegrade.wire.proto.DecisionsProto;
+import org.lovagegrade.wire.proto.EvacuationProto;
 import org.lovagegrade.wire.proto.JobSpecProto;
 import org.lovagegrade.wire.proto.JobStateProto;
+import org.lovagegrade.wire.proto.MachineSnapshotProto;
 import org.lovagegrade.wire.proto.OutcomeProto;
 import org.lovagegrade.wire.proto.OutcomeStatusProto;
 import org.lovagegrade.wire.proto.ResourcesProto;
@@ -291,6 +294,84 @@
         }
     }
 
+    /** Guards against an evacuation that is lost, applied twice, or accepted for a name that does not exist. */
+    @Nested
+    final class Evacuations {
+        private ConfigChangeProto.Builder evacuation(boolean active) {
+            return ConfigChangeProto.newBuilder()
+                    .setSetEvacuation(
+                            EvacuationProto.newBuilder().setFailureDomain("az1").setActive(active));
+        }
+
+        @Test
+        void shouldBeInForceUntilEndedAndSurviveSnapshots() {
+            // when
+            long revision = configure("maria", 0, evacuation(true)).getRevision();
+            machine = StateMachine.fromSnapshot(machine.snapshot());
+
+            // then
+            assertThat(machine.isEvacuated("az1")).isTrue();
+            assertThat(machine.isEvacuated("az2")).isFalse();
+
+            // when
+            OutcomeProto conflict = configure("jose", 0, evacuation(false));
+            configure("jose", revision, evacuation(false));
+            machine = StateMachine.fromSnapshot(machine.snapshot());
+
+            // then
+            assertThat(conflict.getStatus()).isEqualTo(OutcomeStatusProto.CONFLICT);
+            assertThat(conflict.getDetail()).contains("changed by maria");
+            assertThat(conflict.getDetail()).contains("active: true");
+            assertThat(machine.isEvacuated("az1")).isFalse();
+            assertThat(machine.configView().getEvacuations(0).getRevision()).isGreaterThan(revision);
+        }
+
+        @Test
+        void shouldAnswerAResendAfterTheEndWithoutEvacuatingAgain() {
+            // given
+            OutcomeProto first = apply("same", configureCommand("maria", 0, evacuation(true)));
+            configure("maria", first.getRevision(), evacuation(false));
+
+            // when
+            OutcomeProto again = apply("same", configureCommand("maria", 0, evacuation(true)));
+
+            // then
+            assertThat(again).isEqualTo(first);
+            assertThat(machine.isEvacuated("az1")).isFalse();
+        }
+
+        @Test
+        void shouldRememberThatTheLeaderRefusedAnUnknownName() {
+            // given
+            OutcomeProto first = apply("same", LeaderRefusals.unknownDomain("same", "az1"));
+
+            // when
+            machine = StateMachine.fromSnapshot(machine.snapshot());
+            OutcomeProto again = apply("same", configureCommand("maria", 0, evacuation(true)));
+
+            // then
+            assertThat(again).isEqualTo(first);
+            assertThat(first.getStatus()).isEqualTo(OutcomeStatusProto.REFUSED);
+            assertThat(first.getReason()).isEqualTo("unknownDomain");
+            assertThat(first.getDetail()).contains("az1");
+            assertThat(machine.isEvacuated("az1")).isFalse();
+        }
+
+        @Test
+        void shouldBeAbsentFromSnapshotsOfEarlierBuilds() throws InvalidProtocolBufferException {
+            // given: a snapshot without the field, as an earlier build writes it
+            MachineSnapshotProto.Builder earlier = MachineSnapshotProto.parseFrom(machine.snapshot()).toBuilder();
+            earlier.getConfigBuilder().clearEvacuations();
+
+            // when
+            machine = StateMachine.fromSnapshot(earlier.build().toByteString());
+
+            // then
+            assertThat(machine.isEvacuated("az1")).isFalse();
+            assertThat(configure("maria", 0, evacuation(true)).getStatus()).isEqualTo(OutcomeStatusProto.OK);
+        }
+    }
+
     @Nested
     final class InvalidChanges {
         @Test
