--- a/entry/src/main/java/org/lovagegrade/entry/http/EvacuationView.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/EvacuationView.java
@@ -15,6 +15,9 @@
 
 /** Shows operators every failure domain, whether it is evacuated and what still runs there. */
 final class EvacuationView {
+    /** Stands for the failure domain of workers that the leader knows only by the tasks assigned to them. */
+    private static final String UNKNOWN = "(unknown)";
+
     private final LeaderGateway leader;
     private final OperatorKeys operatorKeys;
     private final ViewKeeper views;
@@ -72,6 +75,6 @@
     }
 
     private static DomainUse domain(Map<String, DomainUse> domains, String id) {
-        return domains.computeIfAbsent(id, _id -> new DomainUse());
+        return domains.computeIfAbsent(id.isEmpty() ? UNKNOWN : id, _id -> new DomainUse());
     }
 }
