--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -453,6 +453,7 @@
                     first.waiting(),
                     Urgency.OVERDUE,
                     0,
+                    first.cost(),
                     first.isSuspect(),
                     first.avoidedWorkers());
 
