Simulate evacuations with elections, pauses, partitions, power losses and late copies of orders

The simulation of the driver had no failure domains and no orders of an operator. A paused leader applies what its successor has committed of its proposals before it learns that it is deposed.

An order that repeats the last one gets a new version, since a copy of the opposite order may be on its way.

--- a/graph/src/main/java/org/lovagegrade/graph/machine/Evacuation.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/Evacuation.java
@@ -8,7 +8,7 @@
  * @param failureDomain the name of the failure domain
  * @param isActive whether nothing may be started there; false once the failure domain was returned to service
  * @param version the number of orders about all failure domains that were applied up to this one; above 0
- * @param sinceMs when the order was committed, in milliseconds since the Unix epoch
+ * @param sinceMs when the failure domain got into this state, in milliseconds since the Unix epoch
  */
 public record Evacuation(String failureDomain, boolean isActive, long version, long sinceMs) {
     /**
--- a/graph/src/main/java/org/lovagegrade/graph/machine/Evacuations.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/Evacuations.java
@@ -10,7 +10,8 @@
 
 /**
  * The last order about each failure domain. An order applies only to the version that its sender knew, so that a copy
- * that was delayed on its way doesn't revoke a later order.
+ * that was delayed on its way doesn't revoke a later order. An order that repeats the last one gets a new version too,
+ * since copies of the opposite order may be on their way.
  */
 public final class Evacuations {
     private final Map<String, Evacuation> lastByDomain = new TreeMap<>();
@@ -61,16 +62,15 @@
     /** Applies an order that was committed at {@code nowMs}. */
     Outcome apply(EvacuationOrderProto order, long nowMs) {
         String domain = order.getFailureDomain();
-        if (isEvacuated(domain) == order.getActive()) {
-            return Outcome.UNCHANGED;
-        }
-        long currentVersion = last(domain).map(Evacuation::version).orElse(0L);
-        if (order.getBaseVersion() != currentVersion) {
-            return Outcome.SUPERSEDED;
+        boolean isChange = isEvacuated(domain) != order.getActive();
+        Optional<Evacuation> last = last(domain);
+        if (order.getBaseVersion() != last.map(Evacuation::version).orElse(0L)) {
+            return isChange ? Outcome.SUPERSEDED : Outcome.UNCHANGED;
         }
         lastVersion++;
-        lastByDomain.put(domain, new Evacuation(domain, order.getActive(), lastVersion, nowMs));
-        return Outcome.CHANGED;
+        long sinceMs = isChange ? nowMs : last.map(Evacuation::sinceMs).orElse(nowMs);
+        lastByDomain.put(domain, new Evacuation(domain, order.getActive(), lastVersion, sinceMs));
+        return isChange ? Outcome.CHANGED : Outcome.UNCHANGED;
     }
 
     void writeTo(GraphSnapshotProto.Builder snapshot) {
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -6,15 +6,19 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.lovagegrade.graph.machine.Evacuation;
 import org.lovagegrade.graph.machine.GraphStateListener;
 import org.lovagegrade.graph.machine.GraphStateMachine;
 import org.lovagegrade.graph.machine.JobRecord;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.RunKey;
+import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.TaskKey;
 import org.lovagegrade.graph.planning.PlanOrder;
 import org.lovagegrade.graph.worker.EndedRunView;
@@ -28,6 +32,7 @@
 import org.lovagegrade.wire.proto.FleetDocumentProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
 import org.lovagegrade.wire.proto.GraphProto;
+import org.lovagegrade.wire.proto.GraphReplyProto;
 import org.lovagegrade.wire.proto.PoolProto;
 import org.lovagegrade.wire.proto.QueueProto;
 import org.lovagegrade.wire.proto.ResourcesProto;
@@ -64,9 +69,16 @@
     private final Map<String, SimulatedWorker> workers = new HashMap<>();
     private final Set<String> partitioned = new HashSet<>();
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
+    private final SimulatedOperator operator;
+    private int failureDomains;
     private GraphLeader leader;
+    private SimulatedLeaderLink link;
+    private EvacuationRequestHandler evacuationHandler;
     private WorkerDriver driver;
     private long term;
+    /** The term of a paused leader whose proposals its successor commits before it leads; 0 if there is none. */
+    private long inheritedTerm;
+
     private int nextJob;
     private long lastCommitMs;
     private boolean acceptsExpiredStarts;
@@ -86,6 +98,7 @@
         this.safeguards = safeguards;
         this.random = new Random(seed);
         this.faultRate = faultRate;
+        this.operator = new SimulatedOperator(time, this, new Random(seed));
         machine.apply(GraphCommandProto.newBuilder()
                 .setConfigure(FleetDocumentProto.newBuilder()
                         .setVersion(1)
@@ -143,14 +156,84 @@
         return crashesByTask.get(task);
     }
 
+    /** Distributes the workers over failure domains. */
+    void spreadOverDomains(int count) {
+        failureDomains = count;
+        workers.values().forEach(worker -> worker.moveTo(domainOf(worker.info().getId())));
+    }
+
+    /** The failure domains that are evacuated according to the log. */
+    Set<String> evacuatedDomains() {
+        return machine.evacuations().all().stream()
+                .filter(Evacuation::isActive)
+                .map(Evacuation::failureDomain)
+                .collect(Collectors.toSet());
+    }
+
+    private String domainOf(String worker) {
+        return failureDomains == 0 ? "" : domain(Integer.parseInt(worker.substring(1)) % failureDomains);
+    }
+
+    static String domain(int number) {
+        return "z" + number;
+    }
+
+    SimulatedOperator operator() {
+        return operator;
+    }
+
+    /** The leader's handler of orders about failure domains, or empty while there is no leader. */
+    Optional<EvacuationRequestHandler> evacuationHandler() {
+        return leader == null ? Optional.empty() : Optional.of(evacuationHandler);
+    }
+
     // --- events
 
     void elect() {
         if (leader != null) {
             leader.close();
-            leader = null;
-            machine.setListener(GraphStateListener.NONE);
         }
+        replaceLeader();
+    }
+
+    /** Stops all replicas at once; their successors read the state from disk. */
+    void losePower() {
+        elect();
+        machine.restore(machine.snapshot());
+    }
+
+    /**
+     * Pauses the leader. Its successor can't reach the workers that are cut off and commits what the paused leader has
+     * proposed; the paused one applies these entries, with the answers that arrived, before it learns that it is deposed.
+     */
+    void pauseLeader(long lengthMs) {
+        if (leader == null) {
+            return;
+        }
+        GraphLeader paused = leader;
+        SimulatedLeaderLink pausedLink = link;
+        link.pause();
+        List<RunRecord> startedMeanwhile = new ArrayList<>();
+        long pausedTerm = term;
+        replaceLeader();
+        inheritedTerm = pausedTerm;
+        machine.setListener(new GraphStateListener() {
+            @Override
+            public void runStarted(RunRecord run) {
+                startedMeanwhile.add(run);
+            }
+        });
+        time.after(lengthMs, () -> {
+            startedMeanwhile.forEach(paused::runStarted);
+            pausedLink.resume();
+            paused.close();
+        });
+    }
+
+    private void replaceLeader() {
+        leader = null;
+        machine.setListener(GraphStateListener.NONE);
+        inheritedTerm = 0;
         term++;
         long ownTerm = term;
         time.after(1 + random.nextInt(1_000), () -> {
@@ -161,16 +244,20 @@
     }
 
     private void lead(long ownTerm) {
-        CommandProposer proposer = command -> commit(ownTerm, command);
+        CommandProposer proposer = command -> commit(ownTerm, command, _reply -> {});
+        SimulatedLeaderLink ownLink = new SimulatedLeaderLink(this);
+        link = ownLink;
+        evacuationHandler = new EvacuationRequestHandler(
+                machine, Set.of(), (command, reply) -> commit(ownTerm, command, reply), Metrics.create());
         driver = new WorkerDriver(
                 new WorkerDriver.Dependencies(
-                        this,
+                        ownLink,
                         Runnable::run,
                         proposer,
                         new LeaderTimings(LEASE_MS, 200, HEARTBEAT_MS, CONTACT_MS),
                         time,
                         Metrics.create(),
-                        worker -> machine.evacuations().isEvacuated(worker.getFailureDomain()),
+                        ownLink::isEvacuated,
                         () -> term == ownTerm,
                         safeguards),
                 ownTerm,
@@ -180,11 +267,16 @@
     }
 
     /** Commits after a random delay, in the order of the proposals, as one leader's log does. */
-    private void commit(long ownTerm, GraphCommandProto.Builder command) {
+    private void commit(long ownTerm, GraphCommandProto.Builder command, Consumer<GraphReplyProto> reply) {
         lastCommitMs = Math.max(lastCommitMs, time.nowMs() + 1 + random.nextInt(15));
         time.after(lastCommitMs - time.nowMs(), () -> {
-            if (term == ownTerm) {
-                machine.apply(command.setAtMs(time.nowMs()).build());
+            boolean isInherited = leader == null && inheritedTerm == ownTerm;
+            if (term == ownTerm || isInherited) {
+                GraphReplyProto answer =
+                        machine.apply(command.setAtMs(time.nowMs()).build());
+                if (!isInherited) {
+                    reply.accept(answer);
+                }
             }
         });
     }
@@ -205,12 +297,13 @@
         boolean isDue = random.nextInt(100) == 0 || time.nowMs() % HEARTBEAT_MS < TICK_MS;
         if (isReachable && isDue) {
             long ownTerm = term;
-            leader.handleWorkerReport(worker.info(), () -> {}, command -> commit(ownTerm, command));
+            leader.handleWorkerReport(worker.info(), () -> {}, command -> commit(ownTerm, command, _reply -> {}));
         }
     }
 
     private void boot(String id) {
         SimulatedWorker worker = new SimulatedWorker(time, this, id, CAPACITY, time.nowMs(), random.nextBoolean());
+        worker.moveTo(domainOf(id));
         workers.put(id, worker);
     }
 
@@ -337,6 +430,7 @@
     }
 
     void checkStart(SimulatedWorker worker, RunKey run) {
+        operator.checkStart(worker.info(), run);
         TaskKey task = run.task();
         for (SimulatedWorker other : workers.values()) {
             check(
@@ -369,6 +463,14 @@
         deliver(worker, (target, isLate) -> target.start(order, isLate), result);
     }
 
+    /** Starts a run by the order of a leader that reaches all workers. */
+    void startAcrossPartitions(WorkerProto worker, StartOrder order, Consumer<OrderOutcome> result) {
+        Set<String> presentPartitions = Set.copyOf(partitioned);
+        partitioned.clear();
+        start(worker, order, result);
+        partitioned.addAll(presentPartitions);
+    }
+
     @Override
     public void stop(WorkerProto worker, RunKey run, long fencingToken, Consumer<OrderOutcome> result) {
         deliver(worker, (target, _isLate) -> target.stop(run, fencingToken), result);
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -96,6 +96,14 @@
         capacityBindsFromMs = time.nowMs() + graceMs;
     }
 
+    /** Changes the failure domain, which the worker's next heartbeat shows. */
+    void moveTo(String failureDomain) {
+        info = info.toBuilder()
+                .setSequence(info.getSequence() + 1)
+                .setFailureDomain(failureDomain)
+                .build();
+    }
+
     /** Ends all runs at once; none of their ends is ever listed. */
     void crash() {
         isUp = false;
--- a/graph/src/test/java/org/lovagegrade/graph/machine/EvacuationsTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/machine/EvacuationsTest.java
@@ -149,6 +149,18 @@
             assertThat(machine.evacuations().isEvacuated("a")).isTrue();
         }
 
+        /** Guards against a return to service that was sent before the evacuation was repeated, and arrives after it. */
+        @Test
+        void shouldRevokeOppositeOrdersOnTheirWayWhenRepeated() {
+            order("a", true, 0);
+            order("a", true, 1);
+
+            EvacuationReplyProto delayedReturn = order("a", false, 1);
+
+            assertThat(delayedReturn.getAccepted()).isFalse();
+            assertThat(machine.evacuations().isEvacuated("a")).isTrue();
+        }
+
         @Test
         void shouldConcernOneDomainOnly() {
             order("a", true, 0);
