--- a/overload/src/main/java/org/lovagegrade/overload/CostOfDelay.java
+++ b/overload/src/main/java/org/lovagegrade/overload/CostOfDelay.java
@@ -7,7 +7,7 @@
  * @param outcome the outcome if the item starts now
  * @param slackMs how long the item can wait without a worse outcome, in milliseconds
  * @param slackShare the part of the slack at the objective's start that is left, from 0 to 1; 1 for a late item
- * @param isPromoted whether the item goes first in its group at this time, since it is about to miss its objective
+ * @param promotion how far the item goes ahead in its group at this time, since it is about to miss its objective; 0 if not
  * @param value the value of a result now, where 1 is that of an item of mean size that is in time
  * @param lossPerCoreMs the value that is at risk, by work and slack, per core-millisecond
  */
@@ -16,7 +16,7 @@
         Outcome outcome,
         long slackMs,
         double slackShare,
-        boolean isPromoted,
+        double promotion,
         double value,
         double lossPerCoreMs) {
     private static final double MIN_SIZE_VALUE = 0.3;
@@ -24,6 +24,8 @@
     private static final double MAX_SIZE_VALUE = 4;
     /** The value at risk falls by a factor of e for each slack of this many critical paths. */
     private static final double LOOK_AHEAD_PATHS = 2;
+    /** An untouched item is in time only if this part of its critical path is left, since estimates are uncertain. */
+    private static final double ESTIMATE_MARGIN = 0.2;
 
     /**
      * Determines what a delay costs.
@@ -35,7 +37,8 @@
     public static CostOfDelay of(WorkItem item, long nowMs) {
         Objective objective = item.objective();
         long pathMs = item.work().pathMs();
-        long endMs = nowMs + pathMs;
+        boolean isUntouched = item.work().doneCoreMs() == 0;
+        long endMs = nowMs + pathMs + (isUntouched ? Math.round(pathMs * ESTIMATE_MARGIN) : 0);
         Outcome outcome = Outcome.of(objective, endMs);
         long slackMs = slackMs(objective, outcome, endMs);
         double value = sizeValue(item.work()) * outcome.valueShare();
@@ -50,7 +53,7 @@
                 outcome,
                 slackMs,
                 slackShare,
-                CostOrder.isPromoted(outcome, slackShare, nowMs),
+                CostOrder.promotion(outcome, slackShare, lossPerCoreMs, nowMs),
                 value,
                 lossPerCoreMs);
     }
--- a/overload/src/main/java/org/lovagegrade/overload/CostOrder.java
+++ b/overload/src/main/java/org/lovagegrade/overload/CostOrder.java
@@ -6,23 +6,28 @@
  * The order in which waiting items get capacity: in time before late before useless, then within the share before beyond
  * it, then by priority, then items that have work done, then by the value at risk per work.
  *
- * <p>Items that are about to miss their objective can't starve behind a stream of higher priority: in a fixed part of the
- * time they go first in their group, the one with the least of its slack left ahead. An item therefore waits at most for
- * the work of the items that have less of their slack left than it has, at that part of the capacity.
+ * <p>Items that are about to miss their objective can't starve behind a stream of higher priority. In a fifth of the time
+ * they go first in their group by the value at risk per work, whatever their priority. In a further tenth the one with the
+ * least of its slack left goes first, so that an item waits at most for the work of those that have less of their slack
+ * left than it has, at a tenth of the capacity.
  *
  * <p>Example: {@code demands.sort(Comparator.comparing(Demand::cost, CostOrder.ascending()))}
  */
 public final class CostOrder {
     /** An item is about to miss its objective if less than this part of its slack is left. */
     private static final double PRESSING_SLACK_SHARE = 0.25;
-    /** Items that are about to miss their objective go first during the first fifth of each cycle. */
+
     private static final long CYCLE_MS = 100;
+    /** Promotion by value at risk lasts from the start of a cycle to this time. */
+    private static final long BY_VALUE_END_MS = 20;
+    /** Promotion by slack lasts between these times of a cycle. */
+    private static final long BY_SLACK_START_MS = 50;
 
-    private static final long PROMOTION_MS = 20;
+    private static final long BY_SLACK_END_MS = 60;
 
     private static final Comparator<CostOfDelay> ASCENDING = Comparator.comparing(CostOfDelay::outcome)
             .thenComparing(cost -> !cost.item().withinShare())
-            .thenComparingDouble(cost -> cost.isPromoted() ? cost.slackShare() : 1)
+            .thenComparingDouble(cost -> -cost.promotion())
             .thenComparingInt(cost -> cost.item().priority())
             .thenComparing(cost -> cost.item().work().doneCoreMs() == 0)
             .thenComparingDouble(cost -> -cost.lossPerCoreMs())
@@ -40,10 +45,15 @@
         return ASCENDING;
     }
 
-    /** Whether an item goes first in its group at this time. */
-    static boolean isPromoted(Outcome outcome, double slackShare, long nowMs) {
-        return outcome == Outcome.IN_TIME
-                && slackShare < PRESSING_SLACK_SHARE
-                && Math.floorMod(nowMs, CYCLE_MS) < PROMOTION_MS;
+    /** How far an item goes ahead in its group at this time, whatever its priority; 0 if it does not. */
+    static double promotion(Outcome outcome, double slackShare, double lossPerCoreMs, long nowMs) {
+        if (outcome != Outcome.IN_TIME || slackShare >= PRESSING_SLACK_SHARE) {
+            return 0;
+        }
+        long phaseMs = Math.floorMod(nowMs, CYCLE_MS);
+        if (phaseMs < BY_VALUE_END_MS) {
+            return lossPerCoreMs;
+        }
+        return phaseMs >= BY_SLACK_START_MS && phaseMs < BY_SLACK_END_MS ? 1 - slackShare : 0;
     }
 }
