Refuse jobs at submission that can't start while their results are useful

Twenty jobs beyond all capacity were accepted without any warning. With admissionControl in the settings of replicas (default off), the leader judges each submission of a class with a wait target by the work that waits (module overload) and replicates a refusal 'overloaded' with a retry time under the request id, so a resend gets the same answer. The entry answers 429 with Retry-After.

--- a/entry/src/main/java/org/lovagegrade/entry/http/ApiResponse.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/ApiResponse.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
 import io.undertow.util.StatusCodes;
+import java.util.ArrayList;
 import java.util.List;
 import org.lovagegrade.wire.proto.HeaderProto;
 
@@ -21,6 +22,7 @@
     static final String NOT_RUN = "not-run";
     static final String UNKNOWN = "unknown";
 
+    private static final long MS_PER_S = 1_000;
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final HeaderProto JSON_TYPE = HeaderProto.newBuilder()
             .setName("Content-Type")
@@ -52,6 +54,19 @@
         return error(httpStatus, NOT_RUN, reason, detail);
     }
 
+    /** Adds when to send the request again, in whole seconds, rounded up; 0 ms adds nothing. */
+    ApiResponse withRetryAfterMs(long retryAfterMs) {
+        if (retryAfterMs == 0) {
+            return this;
+        }
+        List<HeaderProto> extendedHeaders = new ArrayList<>(headers);
+        extendedHeaders.add(HeaderProto.newBuilder()
+                .setName("Retry-After")
+                .setValue("" + (retryAfterMs + MS_PER_S - 1) / MS_PER_S)
+                .build());
+        return new ApiResponse(httpStatus, outcome, List.copyOf(extendedHeaders), body);
+    }
+
     /** Creates the response to a request that may have run. */
     static ApiResponse unknown(String reason, String detail) {
         return error(StatusCodes.GATEWAY_TIME_OUT, UNKNOWN, reason, detail);
--- a/entry/src/main/java/org/lovagegrade/entry/http/LeaderGateway.java
+++ b/entry/src/main/java/org/lovagegrade/entry/http/LeaderGateway.java
@@ -76,7 +76,9 @@
                                 .put("reason", outcome.getReason())
                                 .put("detail", outcome.getDetail())
                                 .put("revision", outcome.getRevision()));
-            default -> ApiResponse.refused(statusFor(outcome.getReason()), outcome.getReason(), outcome.getDetail());
+            default ->
+                ApiResponse.refused(statusFor(outcome.getReason()), outcome.getReason(), outcome.getDetail())
+                        .withRetryAfterMs(outcome.getRetryAfterMs());
         };
     }
 
@@ -85,6 +87,7 @@
             case "wrongKey" -> StatusCodes.UNAUTHORIZED;
             case "keyOfOtherTeam" -> StatusCodes.FORBIDDEN;
             case "unknownJob", "unknownTeam", "unknownClass", "unknownKeyId", "unknownDomain" -> StatusCodes.NOT_FOUND;
+            case "overloaded" -> StatusCodes.TOO_MANY_REQUESTS;
             case "duplicateJob", "stillInUse", "jobIsOver" -> StatusCodes.CONFLICT;
             default -> StatusCodes.BAD_REQUEST;
         };
--- a/state/src/main/java/org/lovagegrade/state/StateMain.java
+++ b/state/src/main/java/org/lovagegrade/state/StateMain.java
@@ -103,8 +103,8 @@
         NetworkThreads loops = NetworkThreads.withThreads(NETWORK_THREADS);
         PeerLinks links = new PeerLinks(loops, name -> Optional.ofNullable(peers.get(name)), clock);
         List<String> peerNames = List.copyOf(peers.keySet());
-        Replica replica =
-                new Replica(raft, log, links::send, () -> peerNames, new FleetApplication(metrics), clock, metrics);
+        FleetApplication application = new FleetApplication(metrics, settings.admissionControl());
+        Replica replica = new Replica(raft, log, links::send, () -> peerNames, application, clock, metrics);
         Kernel kernel = Kernel.empty()
                 .register(loops)
                 .register(links)
--- a/state/src/main/java/org/lovagegrade/state/StateSettings.java
+++ b/state/src/main/java/org/lovagegrade/state/StateSettings.java
@@ -18,6 +18,7 @@
  * @param status the address of its HTTP server for metrics and health
  * @param replicas the addresses of all replicas by name, as this replica reaches them
  * @param timings the heartbeat interval and election timeout of the group
+ * @param admissionControl whether this replica, while it leads, may refuse jobs for load
  */
 public record StateSettings(
         String replicaName,
@@ -26,7 +27,8 @@
         Address listen,
         Address status,
         Map<String, Address> replicas,
-        RaftTimings timings) {
+        RaftTimings timings,
+        boolean admissionControl) {
     private static final int MAX_PORT = 65_535;
     private static final int MAX_GROUP = 1_000;
     private static final int MIN_HEARTBEAT_MS = 10;
@@ -54,6 +56,7 @@
                 "heartbeatMs", DEFAULT_HEARTBEAT_MS, MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS, "milliseconds");
         int electionMs = settings.integer(
                 "electionTimeoutMs", DEFAULT_ELECTION_MS, MIN_ELECTION_MS, MAX_ELECTION_MS, "milliseconds");
+        boolean admissionControl = settings.flag("admissionControl");
         Map<String, Address> replicas = AddressSettings.named(settings, "replicas");
         if (!replicas.containsKey(name)) {
             settings.reject("replicaName", name, "one of " + replicas.keySet());
@@ -69,6 +72,7 @@
                 new Address(host, port),
                 new Address(host, statusPort),
                 replicas,
-                RaftTimings.of(heartbeatMs, electionMs));
+                RaftTimings.of(heartbeatMs, electionMs),
+                admissionControl);
     }
 }
--- a/state/src/main/java/org/lovagegrade/state/machine/LeaderRefusals.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/LeaderRefusals.java
@@ -29,6 +29,23 @@
                 DecisionProto.newBuilder().setJob(failureDomain).setReason(RefusalReason.UNKNOWN_DOMAIN.text()));
     }
 
+    /**
+     * Refuses a job that can't start while its result is useful.
+     *
+     * @param requestId the request id of the refused command
+     * @param job the job's id
+     * @param retryAfterMs when the job may be submitted again, in milliseconds
+     * @return the command to propose
+     */
+    public static CommandProto.Builder overloaded(String requestId, String job, long retryAfterMs) {
+        return refusal(
+                requestId,
+                DecisionProto.newBuilder()
+                        .setJob(job)
+                        .setReason(RefusalReason.OVERLOADED.text())
+                        .setLeaseMs(retryAfterMs));
+    }
+
     /** The outcome of a command that refuses another one, or empty if the command is none. */
     static Optional<OutcomeProto> outcomeOf(CommandProto command) {
         if (command.getRequestId().isEmpty() || command.getDecisions().getDecisionsCount() != 1) {
@@ -39,9 +56,20 @@
     }
 
     private static OutcomeProto outcome(DecisionProto decision) {
+        if (!decision.getReason().equals(RefusalReason.OVERLOADED.text())) {
+            return Outcomes.refused(
+                    RefusalReason.UNKNOWN_DOMAIN,
+                    "expected: the failure domain of a worker or an entry; actual: " + decision.getJob());
+        }
+        // A decision has no field of its own for the time; a refusal has no lease.
+        long retryAfterMs = decision.getLeaseMs();
         return Outcomes.refused(
-                RefusalReason.UNKNOWN_DOMAIN,
-                "expected: the failure domain of a worker or an entry; actual: " + decision.getJob());
+                        RefusalReason.OVERLOADED,
+                        "expected: a start while the result is useful; actual: too much work is ahead, retry after "
+                                + retryAfterMs + " ms")
+                .toBuilder()
+                .setRetryAfterMs(retryAfterMs)
+                .build();
     }
 
     private static CommandProto.Builder refusal(String requestId, DecisionProto.Builder decision) {
--- a/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/RefusalReason.java
@@ -22,6 +22,8 @@
     DUPLICATE_JOB("duplicateJob"),
     /** No worker and no entry has this failure domain. */
     UNKNOWN_DOMAIN("unknownDomain"),
+    /** The job can't start while its result is useful. */
+    OVERLOADED("overloaded"),
     /** A value is missing or out of range. */
     BAD_VALUE("badValue"),
     /** Other objects or jobs still use the object. */
--- a/state/src/main/java/org/lovagegrade/state/machine/StateMachine.java
+++ b/state/src/main/java/org/lovagegrade/state/machine/StateMachine.java
@@ -181,6 +181,26 @@
         return Map.copyOf(entries);
     }
 
+    /**
+     * Finds a work class.
+     *
+     * @param id its id
+     * @return the work class, or null if there is none
+     */
+    public WorkClassProto workClass(String id) {
+        return config.workClass(id);
+    }
+
+    /**
+     * Whether a request has an outcome that a resend would get again.
+     *
+     * @param requestId the request id
+     * @return true if a command with this id was applied, and its outcome is remembered
+     */
+    public boolean isAnswered(String requestId) {
+        return outcomes.find(requestId).isPresent();
+    }
+
     /**
      * Whether a failure domain is evacuated.
      *
--- a/state/src/main/java/org/lovagegrade/state/replica/FleetApplication.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/FleetApplication.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.overload.AdmissionDecision;
 import org.lovagegrade.state.machine.ApplyResult;
 import org.lovagegrade.state.machine.LeaderRefusals;
 import org.lovagegrade.state.machine.RefusalReason;
@@ -27,6 +28,7 @@
 
     private final Clock wallClock = Clock.wall();
     private final Metrics metrics;
+    private final boolean admissionControl;
     private StateMachine machine = StateMachine.empty();
     private Leadership leadership;
     private LeaderScheduler scheduler;
@@ -37,8 +39,10 @@
      * Creates the application with an empty state.
      *
      * @param metrics counts refusals and times decisions
+     * @param admissionControl whether jobs may be refused for load
      */
-    public FleetApplication(Metrics metrics) {
+    public FleetApplication(Metrics metrics, boolean admissionControl) {
+        this.admissionControl = admissionControl;
         this.metrics = metrics.declare(COMMAND_REFUSALS, RefusalReason.class);
     }
 
@@ -76,7 +80,7 @@
     @Override
     public void becomeLeader(Leadership newLeadership, long nowMs) {
         leadership = newLeadership;
-        scheduler = new LeaderScheduler(machine, this::proposeOwn, metrics, nowMs, wallClock.nowMs());
+        scheduler = new LeaderScheduler(machine, this::proposeOwn, metrics, nowMs, wallClock.nowMs(), admissionControl);
         views = new EntryViews(machine, this::proposeOwn, nowMs);
         queries = new StatusQueries(machine, scheduler, views);
     }
@@ -126,6 +130,16 @@
     }
 
     private void handleCommand(CommandProto command, Consumer<EnvelopeProto> reply, long nowMs) {
+        Optional<AdmissionDecision.Refused> refused = command.hasSubmit()
+                ? scheduler.submissions().flatMap(control -> control.refusalOf(command, nowMs))
+                : Optional.empty();
+        if (refused.isPresent()) {
+            String job = command.getSubmit().getSpec().getId();
+            long retryAfterMs = refused.get().retryAfterMs();
+            leadership.propose(
+                    timestamped(LeaderRefusals.overloaded(command.getRequestId(), job, retryAfterMs)), reply);
+            return;
+        }
         String failureDomain =
                 command.getConfigure().getChange().getSetEvacuation().getFailureDomain();
         Evacuations.Knowledge knowledge = failureDomain.isEmpty()
--- a/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
@@ -46,6 +46,7 @@
     private final WorkerRegistry workers = new WorkerRegistry();
     private final HeartbeatResponder responder;
     private final Evacuations evacuations;
+    private final Optional<SubmissionControl> submissions;
     private final long wallOffsetMs;
 
     /**
@@ -57,14 +58,24 @@
      * @param metrics counts and times the decisions
      * @param nowMs the current monotonic time in milliseconds
      * @param wallMs the current wall-clock time in milliseconds since the epoch
+     * @param admissionControl whether jobs may be refused for load
      */
-    public LeaderScheduler(StateMachine machine, Proposer proposer, Metrics metrics, long nowMs, long wallMs) {
+    public LeaderScheduler(
+            StateMachine machine,
+            Proposer proposer,
+            Metrics metrics,
+            long nowMs,
+            long wallMs,
+            boolean admissionControl) {
         this.machine = machine;
         this.proposer = proposer;
         this.metrics = metrics;
         this.responder = new HeartbeatResponder(machine, leases);
         this.evacuations = new Evacuations(machine, scheduler, responder, nowMs);
         this.wallOffsetMs = wallMs - nowMs;
+        this.submissions = admissionControl
+                ? Optional.of(new SubmissionControl(machine, scheduler, wallOffsetMs))
+                : Optional.empty();
         machine.configView()
                 .getWorkspacesList()
                 .forEach(
@@ -72,6 +83,8 @@
         machine.configView()
                 .getClassesList()
                 .forEach(workClass -> scheduler.apply(nowMs, new Event.ClassSet(ProtoMapping.workClass(workClass))));
+        submissions.ifPresent(
+                control -> machine.configView().getWorkspacesList().forEach(control::workspaceSet));
         evacuations.restore(nowMs);
         machine.jobs().forEach(job -> restoreJob(job.build(), nowMs));
         decide(nowMs);
@@ -92,11 +105,16 @@
         boolean isOk = result.outcome().getReason().isEmpty();
         if (command.hasConfigure() && isOk) {
             applyConfigChange(command.getConfigure().getChange(), nowMs);
-        } else if (command.hasSubmit() && isOk) {
+        } else if (command.hasSubmit() && !isOk) {
+            submissions.ifPresent(control ->
+                    control.submissionRefused(command.getSubmit().getSpec().getId()));
+        } else if (command.hasSubmit()) {
             scheduler.apply(
                     nowMs,
                     new Event.JobSubmitted(ProtoMapping.job(command.getSubmit().getSpec(), nowMs)));
         } else if (command.hasCancel() && isOk) {
+            submissions.ifPresent(
+                    control -> control.jobCancelled(command.getCancel().getJob()));
             scheduler.apply(nowMs, new Event.JobCancelled(command.getCancel().getJob()));
         } else if (command.hasDecisions()) {
             command.getDecisions().getDecisionsList().forEach(responder::decisionApplied);
@@ -135,6 +153,7 @@
             scheduler.apply(nowMs, new Event.LeaseExpired(attempt));
         }
         decide(nowMs);
+        submissions.ifPresent(control -> control.tick(nowMs));
     }
 
     /**
@@ -157,6 +176,15 @@
         return evacuations;
     }
 
+    /**
+     * Returns the control of submissions under load.
+     *
+     * @return the control, or empty if jobs are never refused for load
+     */
+    public Optional<SubmissionControl> submissions() {
+        return submissions;
+    }
+
     /**
      * Returns the scheduler, for read access by status queries.
      *
@@ -169,6 +197,7 @@
     private void applyConfigChange(ConfigChangeProto change, long nowMs) {
         if (change.hasSetWorkspace()) {
             scheduler.apply(nowMs, new Event.WorkspaceSet(ProtoMapping.workspace(change.getSetWorkspace())));
+            submissions.ifPresent(control -> control.workspaceSet(change.getSetWorkspace()));
         } else if (change.hasSetClass()) {
             scheduler.apply(nowMs, new Event.ClassSet(ProtoMapping.workClass(change.getSetClass())));
         } else if (change.hasSetEvacuation()) {
@@ -206,7 +235,10 @@
                 nowMs,
                 new Event.JobRestored(
                         ProtoMapping.job(job.getSpec(), submittedAtMs), assigned, ended, attempts, restarts));
-        if (!isUnfinished) {
+        if (isUnfinished) {
+            int waiting = job.getTasksCount() - assigned.size() - ended.size();
+            submissions.ifPresent(control -> control.restored(job.getSpec(), assigned, waiting, submittedAtMs));
+        } else {
             scheduler.apply(nowMs, new Event.JobCancelled(id));
         }
     }
@@ -258,6 +290,7 @@
 
     private void trackDecision(Decision decision, long nowMs) {
         metrics.count("lovagegrade_decisions_" + decision.action().text(), decision.reason());
+        submissions.ifPresent(control -> control.decided(decision, nowMs));
         switch (decision.action()) {
             case PLACE -> {
                 leases.granted(decision.toAttempt(), nowMs, decision.leaseMs());
--- a/state/src/test/java/org/lovagegrade/state/scheduling/EvacuationsTest.java
+++ b/state/src/test/java/org/lovagegrade/state/scheduling/EvacuationsTest.java
@@ -45,7 +45,7 @@
     private void takeOver() {
         proposed.clear();
         leader = new LeaderScheduler(
-                machine, command -> proposed.add(command.build()), Metrics.create(), nowMs, 1_000 + nowMs);
+                machine, command -> proposed.add(command.build()), Metrics.create(), nowMs, 1_000 + nowMs, false);
     }
 
     private static CommandProto.Builder configure(ConfigChangeProto.Builder change) {
