Add 'lovagegrade load', the account of jobs and capacity from logs

Operators could not see from the logs who was served, who waited, and where the capacity of an overloaded deployment went.

The command merges plain or compressed logs by time, one line of each file in memory, and keeps the jobs that are not over. It prints jobs by outcome, refusals by reason, core-seconds by outcome, waste by cause, and the adviser's time, by queue, workspace, failure domain and five seconds. Logs without any job are an error. 'applied' now has the class and the number of tasks of a submitted job, without which the end of a job on the product's own fleet can't be recognized.

--- a/cli/src/main/java/org/lovagegrade/cli/CliMain.java
+++ b/cli/src/main/java/org/lovagegrade/cli/CliMain.java
@@ -13,6 +13,7 @@
 import org.lovagegrade.cli.audit.LogsCommand;
 import org.lovagegrade.cli.commands.ConfigCommands;
 import org.lovagegrade.cli.commands.JobCommands;
+import org.lovagegrade.cli.load.LoadCommand;
 import org.lovagegrade.cli.trace.TraceCommand;
 import org.lovagegrade.kernel.CommandHelp;
 
@@ -31,6 +32,7 @@
         commands.addAll(JobCommands.all());
         commands.add(TraceCommand.command());
         commands.add(LogsCommand.command());
+        commands.add(LoadCommand.command());
     }
 
     /**
--- a/cli/src/main/java/org/lovagegrade/cli/Session.java
+++ b/cli/src/main/java/org/lovagegrade/cli/Session.java
@@ -125,6 +125,27 @@
         }
     }
 
+    /**
+     * Prints a table, unless {@code --json} is set.
+     *
+     * @param table the table
+     * @param rows a JSON array of objects
+     */
+    public void printTable(Table table, JsonNode rows) {
+        if (!hasOption("json")) {
+            table.print(rows, out);
+        }
+    }
+
+    /**
+     * Prints why a command failed.
+     *
+     * @param text what was expected and what was found
+     */
+    public void printError(String text) {
+        err.println(text);
+    }
+
     /**
      * Prints a JSON value, only if {@code --json} is set.
      *
--- a/cli/src/main/java/org/lovagegrade/cli/trace/LogFiles.java
+++ b/cli/src/main/java/org/lovagegrade/cli/trace/LogFiles.java
@@ -1,15 +1,28 @@
 package org.lovagegrade.cli.trace;
 
+import java.io.BufferedInputStream;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.zip.GZIPInputStream;
 import org.lovagegrade.cli.UsageException;
 
-/** Reads log files. */
+/** Reads log files, plain or compressed with gzip, and the standard input. */
 public final class LogFiles {
+    /** The argument that stands for the standard input. */
+    public static final String STANDARD_INPUT = "-";
+
+    private static final int GZIP_MAGIC_FIRST = 0x1f;
+    private static final int GZIP_MAGIC_SECOND = 0x8b;
+
     private LogFiles() {}
 
     /**
@@ -22,23 +35,87 @@
     public static List<LogLine> read(List<String> files) throws UsageException {
         List<LogLine> lines = new ArrayList<>();
         for (String file : files) {
-            lines.addAll(read(Path.of(file)));
+            try (Lines opened = open(file)) {
+                for (Optional<LogLine> line = opened.next(); line.isPresent(); line = opened.next()) {
+                    lines.add(line.get());
+                }
+            } catch (UncheckedIOException e) {
+                throw unreadable(file, e.getCause());
+            }
         }
         return lines;
     }
 
-    private static List<LogLine> read(Path file) throws UsageException {
-        List<LogLine> lines = new ArrayList<>();
+    /**
+     * Opens a log file to read it line by line.
+     *
+     * @param file its path, or {@value #STANDARD_INPUT}
+     * @return the lines, to be closed by the caller
+     * @throws UsageException if the file can't be read
+     */
+    public static Lines open(String file) throws UsageException {
         try {
-            String content = new String(Files.readAllBytes(file), StandardCharsets.UTF_8);
-            long lineNumber = 0;
-            for (String text : content.split("\n", -1)) {
-                lineNumber++;
-                LogLine.parse(file.getFileName().toString(), lineNumber, text).ifPresent(lines::add);
-            }
+            boolean isStandardInput = file.equals(STANDARD_INPUT);
+            InputStream input = isStandardInput ? System.in : Files.newInputStream(Path.of(file));
+            String name = isStandardInput ? file : Path.of(file).getFileName().toString();
+            return new Lines(
+                    name, new BufferedReader(new InputStreamReader(decompressed(input), StandardCharsets.UTF_8)));
         } catch (IOException e) {
-            throw new UsageException("a readable log file", file + ": " + e);
+            throw unreadable(file, e);
+        }
+    }
+
+    private static UsageException unreadable(String file, IOException cause) {
+        return new UsageException("a readable log file", file + ": " + cause);
+    }
+
+    private static InputStream decompressed(InputStream input) throws IOException {
+        BufferedInputStream buffered = new BufferedInputStream(input);
+        buffered.mark(2);
+        boolean isGzip = buffered.read() == GZIP_MAGIC_FIRST && buffered.read() == GZIP_MAGIC_SECOND;
+        buffered.reset();
+        return isGzip ? new GZIPInputStream(buffered) : buffered;
+    }
+
+    /** The lines of one file that have an event. */
+    public static final class Lines implements AutoCloseable {
+        private final String file;
+        private final BufferedReader reader;
+        private long lineNumber;
+
+        private Lines(String file, BufferedReader reader) {
+            this.file = file;
+            this.reader = reader;
+        }
+
+        /**
+         * Reads on to the next line with an event.
+         *
+         * @return the line, or empty at the end of the file
+         * @throws UncheckedIOException if the file can't be read any further
+         */
+        public Optional<LogLine> next() {
+            try {
+                for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+                    lineNumber++;
+                    Optional<LogLine> line = LogLine.parse(file, lineNumber, text);
+                    if (line.isPresent()) {
+                        return line;
+                    }
+                }
+                return Optional.empty();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        @Override
+        public void close() {
+            try {
+                reader.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
         }
-        return lines;
     }
 }
--- a/state/src/main/java/org/lovagegrade/state/replica/AuditLog.java
+++ b/state/src/main/java/org/lovagegrade/state/replica/AuditLog.java
@@ -45,6 +45,8 @@
                 .with("command", command.getBodyCase().name())
                 .with("requestId", command.getRequestId())
                 .with("object", affectedObject(command))
+                .with("workClass", command.getSubmit().getSpec().getWorkClass())
+                .with("tasks", command.getSubmit().getSpec().getTasks())
                 .with("operator", command.getConfigure().getOperator())
                 .with("status", outcome.getStatus().name())
                 .with("reason", outcome.getReason())
