Check and trace the product's own fleet; refuse to check logs without work

'logs check' reported success on logs without a single accepted job, and 'trace' ended with 'no end in these logs' for a completed job of the product's own fleet: neither knew 'applied' and 'decision'.

'logs check' counts accepted jobs of both forms and fails if there is none. It also checks that replicas apply the same commands and decisions, and that no task is placed after the end of its job. 'trace' derives the end of a job from its commands and decisions, in the order of the replicated log.

--- a/cli/src/main/java/org/lovagegrade/cli/audit/LogAudit.java
+++ b/cli/src/main/java/org/lovagegrade/cli/audit/LogAudit.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.lovagegrade.cli.audit.internal.AuditRule;
 import org.lovagegrade.cli.trace.LogLine;
 import org.lovagegrade.cli.trace.LogOrder;
@@ -41,18 +42,29 @@
     }
 
     /**
-     * Returns the number of accepted jobs in the logs, which shows whether the logs contained any work to check.
+     * Returns the number of accepted jobs in the logs, which shows whether the logs contained any work to check; jobs on
+     * the product's own fleet as well as job graphs.
      *
      * @return the number of distinct jobs
      */
     public long acceptedJobs() {
         return lines.stream()
-                .filter(line -> line.event().equals("jobAccepted"))
-                .map(line -> line.text("job"))
+                .map(LogAudit::acceptedJob)
+                .<String>mapMulti(Optional::ifPresent)
                 .distinct()
                 .count();
     }
 
+    private static Optional<String> acceptedJob(LogLine line) {
+        if (line.event().equals("jobAccepted")) {
+            return Optional.of(line.text("job"));
+        }
+        boolean isAcceptance = line.event().equals("applied")
+                && line.text("command").equals("SUBMIT")
+                && line.text("status").equals("OK");
+        return isAcceptance ? Optional.of(line.text("object")) : Optional.empty();
+    }
+
     private void check(AuditRule rule) {
         AuditRule.Check check = rule.newCheck().get();
         for (LogLine line : lines) {
--- a/cli/src/main/java/org/lovagegrade/cli/audit/LogsCommand.java
+++ b/cli/src/main/java/org/lovagegrade/cli/audit/LogsCommand.java
@@ -42,6 +42,11 @@
                     + "\n  because: " + finding.context());
             session.printJson(json(finding).toString());
         }
+        if (audit.acceptedJobs() == 0) {
+            session.printError("expected: logs with accepted jobs\n  actual: no accepted job in "
+                    + arguments.subList(1, arguments.size()) + "; invariants of jobs were not checked");
+            return ExitCode.REFUSED;
+        }
         session.printText(
                 audit.findings().size() + " violations in the logs of " + audit.acceptedJobs() + " accepted jobs");
         return audit.findings().isEmpty() ? ExitCode.SUCCESS : ExitCode.REFUSED;
--- a/cli/src/main/java/org/lovagegrade/cli/audit/internal/AuditRule.java
+++ b/cli/src/main/java/org/lovagegrade/cli/audit/internal/AuditRule.java
@@ -32,6 +32,8 @@
                 new AuditRule("nothing of a job starts after its end", AuditRule::noStartAfterEnd),
                 new AuditRule("a job has one end", AuditRule::oneEndPerJob),
                 new AuditRule("an accepted job is known until its end", AuditRule::noAcceptedJobLost),
+                new AuditRule("all replicas apply the same commands and decisions", FleetRules::sameOnAllReplicas),
+                new AuditRule("no task is placed after the end of its job", FleetRules::noPlacementAfterEnd),
                 new AuditRule(
                         "a process never goes back to an older desired state",
                         AuditRule::configurationVersionNeverDecreases),
--- a/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
+++ b/cli/src/main/java/org/lovagegrade/cli/trace/Timeline.java
@@ -73,6 +73,10 @@
      * @return the sentence
      */
     public String cause() {
+        return FleetJob.describe(id, lines).orElseGet(this::causeFromLastOutcome);
+    }
+
+    private String causeFromLastOutcome() {
         String cause = lines.isEmpty()
                 ? "nothing in these logs is about " + id
                 : "no end in these logs; the last event is "
@@ -92,6 +96,8 @@
                 line.fields().path("perhapsTaken").asBoolean()
                         ? "gave up without an answer from a leader; it may have been accepted"
                         : "refused: no leader accepted it; it has not run";
+            case "submit" -> "passed on to the leader; its acceptance is not in these logs";
+            case "refusal" -> "refused by an entry: " + line.text("reason") + "; it has not run";
             case "jobAccepted" -> "accepted; its end is not in these logs";
             case "jobOver" -> finished(line);
             default -> previousCause;
--- a/cli/src/test/java/org/lovagegrade/cli/CliMainTest.java
+++ b/cli/src/test/java/org/lovagegrade/cli/CliMainTest.java
@@ -3,11 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 final class CliMainTest {
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -49,4 +53,15 @@
             assertThat(out.toString(StandardCharsets.UTF_8)).contains("exit codes: 0 done");
         }
     }
+
+    @Nested
+    final class LogsWithoutWork {
+        @Test
+        void shouldNotPassTheCheck(@TempDir Path directory) throws IOException {
+            Path file = Files.writeString(directory.resolve("a.log"), "{\"atMs\":1,\"event\":\"started\"}\n");
+
+            assertThat(run("logs", "check", file.toString())).isEqualTo(ExitCode.REFUSED);
+            assertThat(err.toString(StandardCharsets.UTF_8)).contains("no accepted job");
+        }
+    }
 }
--- a/cli/src/test/java/org/lovagegrade/cli/audit/LogAuditTest.java
+++ b/cli/src/test/java/org/lovagegrade/cli/audit/LogAuditTest.java
@@ -155,4 +155,53 @@
             assertThat(violatedInvariants()).containsExactly("no process ends by a broken invariant");
         }
     }
+
+    @Nested
+    final class OwnFleet {
+        private void addPlacement(String source, long index, String worker) {
+            addLine(
+                    source,
+                    1_000 + index,
+                    "decision",
+                    ",\"action\":\"PLACE\",\"index\":" + index + ",\"job\":\"" + JOB
+                            + "\",\"task\":0,\"attempt\":1,\"worker\":\"" + worker + "\"");
+        }
+
+        private void addCommand(String source, long index, String command) {
+            addLine(
+                    source,
+                    1_000 + index,
+                    "applied",
+                    ",\"command\":\"" + command + "\",\"index\":" + index + ",\"object\":\"" + JOB
+                            + "\",\"status\":\"OK\"");
+        }
+
+        @Test
+        void shouldCountAcceptedJobs() {
+            addCommand("a", 1, "SUBMIT");
+            addCommand("b", 1, "SUBMIT");
+            addPlacement("a", 2, "w1");
+            addPlacement("b", 2, "w1");
+
+            assertThat(LogAudit.of(lines).acceptedJobs()).isEqualTo(1);
+            assertThat(violatedInvariants()).isEmpty();
+        }
+
+        @Test
+        void shouldReportReplicasThatDiffer() {
+            addPlacement("a", 2, "w1");
+            addPlacement("b", 2, "w2");
+
+            assertThat(violatedInvariants()).containsExactly("all replicas apply the same commands and decisions");
+        }
+
+        @Test
+        void shouldReportAPlacementAfterTheEndOfTheJob() {
+            addCommand("a", 1, "SUBMIT");
+            addCommand("a", 2, "CANCEL");
+            addPlacement("a", 3, "w1");
+
+            assertThat(violatedInvariants()).containsExactly("no task is placed after the end of its job");
+        }
+    }
 }
--- a/cli/src/test/java/org/lovagegrade/cli/trace/TimelineTest.java
+++ b/cli/src/test/java/org/lovagegrade/cli/trace/TimelineTest.java
@@ -146,4 +146,62 @@
             assertThat(Timeline.of(JOB, lines).cause()).contains("it has not run");
         }
     }
+
+    /** Guards against a completed job of the product's own fleet whose end is reported as missing. */
+    @Nested
+    final class OwnFleet {
+        private void addApplied(long atMs, long index, String command, String fields) {
+            addLine("{\"atMs\":" + atMs + ",\"event\":\"applied\",\"index\":" + index + ",\"command\":\"" + command
+                    + "\",\"object\":\"" + JOB + "\"," + fields + "}");
+        }
+
+        private void addDecision(long atMs, long index, String action, int task, String reason) {
+            addLine("{\"atMs\":" + atMs + ",\"event\":\"decision\",\"index\":" + index + ",\"action\":\"" + action
+                    + "\",\"job\":\"" + JOB + "\",\"task\":" + task + ",\"attempt\":1,\"reason\":\"" + reason + "\"}");
+        }
+
+        /** A job of two tasks as each of two replicas reports it, the second one 50 ms later. */
+        private void addCompletedJob() {
+            for (int delayMs : new int[] {0, 50}) {
+                addApplied(delayMs + 1_000, 7, "SUBMIT", "\"status\":\"OK\",\"tasks\":2");
+                addDecision(delayMs + 1_010, 8, "PLACE", 0, "");
+                addDecision(delayMs + 1_010, 8, "PLACE", 1, "");
+                addDecision(delayMs + 1_020, 9, "END", 0, "completed");
+                addDecision(delayMs + 1_030, 10, "END", 1, "completed");
+            }
+        }
+
+        @Test
+        void shouldStateThatAllTasksOfAJobHaveCompleted() {
+            addCompletedJob();
+
+            assertThat(Timeline.of(JOB, lines).cause())
+                    .isEqualTo("completed after 30 ms, all 2 tasks; 0 attempts were stopped, lost or failed");
+        }
+
+        @Test
+        void shouldStateThatAJobIsNotOver() {
+            addCompletedJob();
+            lines.removeIf(line -> line.text("index").equals("10"));
+
+            assertThat(Timeline.of(JOB, lines).cause()).contains("its end is not in these logs; 1 of 2 tasks");
+        }
+
+        @Test
+        void shouldStateWhyAJobFailed() {
+            addDecision(1_000, 8, "PLACE", 0, "");
+            addDecision(1_010, 9, "FAIL", 0, "exit code 3");
+            addDecision(1_020, 10, "FAIL", -1, "tooManyFailures");
+
+            assertThat(Timeline.of(JOB, lines).cause())
+                    .isEqualTo("failed: tooManyFailures; 1 attempts were stopped, lost or failed");
+        }
+
+        @Test
+        void shouldStateWhyASubmissionWasRefused() {
+            addApplied(1_000, 7, "SUBMIT", "\"status\":\"REFUSED\",\"reason\":\"overloaded\"");
+
+            assertThat(Timeline.of(JOB, lines).cause()).startsWith("refused: overloaded");
+        }
+    }
 }
