--- a/cli/src/main/java/org/lovagegrade/cli/CliMain.java
+++ b/cli/src/main/java/org/lovagegrade/cli/CliMain.java
@@ -14,6 +14,7 @@
 import org.lovagegrade.cli.commands.ConfigCommands;
 import org.lovagegrade.cli.commands.EvacuateCommand;
 import org.lovagegrade.cli.commands.JobCommands;
+import org.lovagegrade.cli.load.LoadCommand;
 import org.lovagegrade.cli.trace.TraceCommand;
 import org.lovagegrade.kernel.CommandHelp;
 
@@ -33,6 +34,7 @@
         commands.addAll(JobCommands.all());
         commands.add(TraceCommand.command());
         commands.add(LogsCommand.command());
+        commands.add(LoadCommand.command());
     }
 
     /**
