Name workers that will have room while the ticket is valid

Cause: on a full fleet only the few workers with room at the moment were named, so that a wide step would need a question for each task that ends. Gangs whose question was pending didn't count among those that may ask before they fit, so that all gangs could do so one after the other.

Change: a step of single tasks also names workers whose running work will probably make room for a task within half of a ticket's validity. The claims of earlier steps are taken off, so that only the first steps ask.

--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -146,8 +146,12 @@
     }
 
     private static boolean canHost(StepDemand demand, CandidateWorker worker, ResourceVector need) {
-        boolean isOpen = !worker.isIsolated() || (demand.hasSuspects() && worker.isIsolatedFor(demand.job()));
-        return isOpen && hasRoom(demand, worker, need) && worker.isOpenTo(demand.priority());
+        return isOpen(demand, worker) && hasRoom(demand, worker, need);
+    }
+
+    private static boolean isOpen(StepDemand demand, CandidateWorker worker) {
+        boolean isOpenToJob = !worker.isIsolated() || (demand.hasSuspects() && worker.isIsolatedFor(demand.job()));
+        return isOpenToJob && worker.isOpenTo(demand.priority());
     }
 
     private static boolean hasRoom(StepDemand demand, CandidateWorker worker, ResourceVector need) {
@@ -312,10 +316,8 @@
                         openTo(demand, candidates.stale),
                         openTo(demand, candidates.unknown)),
                 tasks,
-                worker -> canHost(demand, worker, demand.step().perTask())
-                        ? fit(demand, worker, worker.free(), tasks)
-                        : 0,
-                worker -> fit(demand, worker, ResourceVector.of(worker.info().getCapacity()), tasks));
+                worker -> isOpen(demand, worker) ? fit(demand, worker, worker.free(), tasks) : 0,
+                worker -> isOpen(demand, worker) ? fit(demand, worker, capacity(worker), tasks) : 0);
         // Questions about useless work wait for long, and must not keep capacity from other work meanwhile.
         boolean isAnswerSoon = demand.urgency() != Urgency.OVERDUE
                 || advice.isPending(demand.step().name());
@@ -335,6 +337,10 @@
         return Math.min(demand.step().perTask().timesInto(resources, tasks), remainingStepTasks(demand, worker));
     }
 
+    private static ResourceVector capacity(CandidateWorker worker) {
+        return ResourceVector.of(worker.info().getCapacity());
+    }
+
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
         ResourceVector need = demand.step().perTask();
         worker.addStart(demand.step());
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketOption.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketOption.java
@@ -5,10 +5,11 @@
  *
  * @param worker the worker
  * @param tasks the number of tasks of the step that it can run
- * @param probability the probability that the adviser allows it, 1 if the adviser did so before
+ * @param probability the probability that it is allowed and has room for these tasks while the ticket is valid
+ * @param isHeld whether the planner holds back its capacity for these tasks
  */
-record TicketOption(CandidateWorker worker, int tasks, double probability) {
-    boolean isKnown() {
-        return probability >= 1;
+record TicketOption(CandidateWorker worker, int tasks, double probability, boolean isHeld) {
+    double expectedTasks() {
+        return tasks * probability;
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -18,7 +18,7 @@
 final class TicketRequests {
     /** More questions of a priority than this wait too long to be worth choosing. */
     private static final int MAX_REQUESTS_PER_PRIORITY = 32;
-    /** The gangs that may learn verdicts and renew tickets before they fit; as many as may reserve workers. */
+    /** The gangs that may learn verdicts and renew tickets before they fit: as many as may reserve workers. */
     private static final int MAX_GANGS_AHEAD = 2;
     /** A question that costs less is asked before the step fits, so that its verdicts are known once it does. */
     private static final double LEARN_AHEAD_COST_MS = 50;
@@ -28,6 +28,15 @@
     private static final double NEARLY_FITS = 0.75;
     /** A gang renews tickets for this many times the workers that it needs, since others may become free first. */
     private static final double RENEWAL_MARGIN = 1.5;
+    /** At most this share of what runs on a worker is expected to end while a ticket is valid. */
+    private static final double MAX_ENDING_SHARE = 0.5;
+    /** A worker is not named for a smaller fraction of a task. */
+    private static final double MIN_ROOM = 0.2;
+
+    private static final Comparator<TicketOption> MOST_USEFUL_FIRST = Comparator.comparingDouble(
+                    TicketOption::expectedTasks)
+            .thenComparingLong(option -> option.worker().free().milliCores())
+            .reversed();
 
     private final AdviceLookup advice;
     private final List<AdviceRequest> requests = new ArrayList<>();
@@ -61,7 +70,7 @@
      * @param suitable its workers
      * @param tasks the number of tasks without a worker
      * @param fit how many tasks of the step fit on a worker's free resources now
-     * @param fitWhenEmpty how many tasks of the step fit on a worker without other runs
+     * @param fitWhenEmpty how many tasks of the step fit on a worker without other runs; 0 if it is closed to the step
      * @return whether a question is pending or requested
      */
     boolean request(
@@ -72,13 +81,14 @@
             ToIntFunction<CandidateWorker> fitWhenEmpty) {
         double share = advice.allowedShare(demand.queue().getName());
         if (advice.isPending(demand.step().name())) {
-            claimPending(demand, suitable, tasks, fit, share);
+            gangsAhead += isGang(demand) ? 1 : 0;
+            claimPending(demand, suitable, tasks, fitWhenEmpty, share);
             return true;
         }
         if (requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
             return false;
         }
-        Optional<QuestionScope> scope = scopeForStart(demand, suitable, tasks, fit, share);
+        Optional<QuestionScope> scope = scopeForStart(demand, suitable, tasks, fit, fitWhenEmpty, share);
         if (scope.isEmpty() && mayAskAhead(demand)) {
             scope = scopeForVerdicts(demand, suitable, tasks, fitWhenEmpty, share)
                     .or(() -> scopeForRenewal(demand, suitable, tasks, fit, fitWhenEmpty));
@@ -97,24 +107,73 @@
         QuestionScope.best(options, 0, 1, false, cost(demand)).ifPresent(chosen -> add(demand, chosen, 1));
     }
 
-    /** Selects workers with which tasks could start now; for a gang, enough that all members probably can. */
+    /**
+     * Selects workers with which tasks could start: those of a gang now, enough that all members probably can; others
+     * now, or as soon as something ends there while the ticket is valid.
+     */
     private Optional<QuestionScope> scopeForStart(
-            StepDemand demand, Suitable suitable, int tasks, ToIntFunction<CandidateWorker> fit, double share) {
+            StepDemand demand,
+            Suitable suitable,
+            int tasks,
+            ToIntFunction<CandidateWorker> fit,
+            ToIntFunction<CandidateWorker> fitWhenEmpty,
+            double share) {
         boolean isGang = isGang(demand);
         List<CandidateWorker> lasting = new ArrayList<>();
         List<CandidateWorker> known = needingRenewal(demand, suitable, lasting);
         int covered = isGang ? lasting.stream().mapToInt(fit).sum() : 0;
-        ToIntFunction<CandidateWorker> unclaimedFit = worker -> unclaimedFit(demand, worker, fit);
-        List<TicketOption> options = options(known, unclaimedFit, 1);
-        options.addAll(options(suitable.unknown(), unclaimedFit, share));
+        List<TicketOption> options = new ArrayList<>();
+        known.forEach(worker -> optionNow(demand, worker, fit, 1, true).ifPresent(options::add));
+        suitable.unknown()
+                .forEach(worker -> optionNow(demand, worker, fit, share, false).ifPresent(options::add));
         int most = covered + options.stream().mapToInt(TicketOption::tasks).sum();
         if (covered >= tasks || (isGang && most < tasks)) {
             return Optional.empty();
         }
+        if (!isGang) {
+            known.forEach(
+                    worker -> optionSoon(demand, worker, fit, fitWhenEmpty, 1).ifPresent(options::add));
+            suitable.unknown()
+                    .forEach(worker ->
+                            optionSoon(demand, worker, fit, fitWhenEmpty, share).ifPresent(options::add));
+        }
+        options.sort(MOST_USEFUL_FIRST);
         return QuestionScope.best(options, covered, tasks, isGang, cost(demand))
                 .filter(scope -> !isGang || scope.yield() >= MIN_GANG_LIKELIHOOD);
     }
 
+    private Optional<TicketOption> optionNow(
+            StepDemand demand,
+            CandidateWorker worker,
+            ToIntFunction<CandidateWorker> fit,
+            double probability,
+            boolean isKnown) {
+        int tasks = unclaimedFit(demand, worker, fit);
+        return tasks > 0 ? Optional.of(new TicketOption(worker, tasks, probability, isKnown)) : Optional.empty();
+    }
+
+    /** Returns a worker without room that will probably have room for one task while the ticket is valid. */
+    private Optional<TicketOption> optionSoon(
+            StepDemand demand,
+            CandidateWorker worker,
+            ToIntFunction<CandidateWorker> fit,
+            ToIntFunction<CandidateWorker> fitWhenEmpty,
+            double probability) {
+        long perTask = demand.step().perTask().milliCores();
+        long estimateMs = demand.step().spec().getEstimateMs();
+        boolean hasRoom = unclaimedFit(demand, worker, fit) > 0;
+        if (hasRoom || perTask <= 0 || estimateMs <= 0 || fitWhenEmpty.applyAsInt(worker) == 0) {
+            return Optional.empty();
+        }
+        // What runs there is taken to last as long as this step's tasks, and to be anywhere in its run.
+        double endingShare = Math.min(MAX_ENDING_SHARE, cost(demand).getValidMs() / 2.0 / estimateMs);
+        long free = worker.free().milliCores();
+        double ending = (worker.info().getCapacity().getMilliCores() - free) * endingShare;
+        double claimed = claimedMilliCores.getOrDefault(worker.id(), 0.0);
+        double room = Math.min(1, (free + ending - claimed) / perTask);
+        return room > MIN_ROOM ? Optional.of(new TicketOption(worker, 1, probability * room, false)) : Optional.empty();
+    }
+
     private boolean mayAskAhead(StepDemand demand) {
         if (demand.urgency() == Urgency.OVERDUE) {
             return false;
@@ -181,19 +240,17 @@
         return needing;
     }
 
-    /** Returns the workers that fit any task: first those that fit the most, then those with the most free cores. */
+    /** Returns the workers that fit any task, the most useful first. */
     private static List<TicketOption> options(
             List<CandidateWorker> workers, ToIntFunction<CandidateWorker> fit, double probability) {
         List<TicketOption> options = new ArrayList<>();
         for (CandidateWorker worker : workers) {
             int tasks = fit.applyAsInt(worker);
             if (tasks > 0) {
-                options.add(new TicketOption(worker, tasks, probability));
+                options.add(new TicketOption(worker, tasks, probability, false));
             }
         }
-        options.sort(Comparator.comparingInt(TicketOption::tasks)
-                .thenComparingLong(option -> option.worker().free().milliCores())
-                .reversed());
+        options.sort(MOST_USEFUL_FIRST);
         return options;
     }
 
@@ -209,26 +266,29 @@
         return Math.min(fit.applyAsInt(worker), fitting);
     }
 
+    /** Claims capacity for a pending question; a worker without room is taken to be named for one task. */
     private void claimPending(
-            StepDemand demand, Suitable suitable, int tasks, ToIntFunction<CandidateWorker> fit, double share) {
+            StepDemand demand,
+            Suitable suitable,
+            int tasks,
+            ToIntFunction<CandidateWorker> fitWhenEmpty,
+            double share) {
         List<String> asked = advice.workersAsked(demand.step().name());
         List<CandidateWorker> named = suitable.unknown().stream()
                 .filter(worker -> asked.contains(worker.id()))
                 .toList();
-        claim(demand, options(named, fit, share), tasks);
+        claim(demand, options(named, worker -> Math.min(1, fitWhenEmpty.applyAsInt(worker)), share), tasks);
     }
 
     /** Spreads the wanted tasks over the named workers, by how many each will probably run. */
     private void claim(StepDemand demand, List<TicketOption> options, int tasks) {
-        double expected = options.stream()
-                .mapToDouble(option -> option.tasks() * option.probability())
-                .sum();
+        double expected =
+                options.stream().mapToDouble(TicketOption::expectedTasks).sum();
         double scale = Math.min(1, tasks / Math.max(1, expected));
         ResourceVector perTask = demand.step().perTask();
         for (TicketOption option : options) {
-            // The capacity for tasks on workers with a known verdict is held by the planner.
-            if (!option.isKnown()) {
-                double milliCores = option.tasks() * option.probability() * scale * perTask.milliCores();
+            if (!option.isHeld()) {
+                double milliCores = option.expectedTasks() * scale * perTask.milliCores();
                 claimedMilliCores.merge(option.worker().id(), milliCores, Double::sum);
             }
         }
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -398,6 +398,25 @@
                     .containsExactly("free");
         }
 
+        /** Guards against a question for each task that ends: a full fleet frees capacity while a ticket is valid. */
+        @Test
+        void shouldNameFullWorkersThatWillHaveRoomSoonToFirstStepsOnly() {
+            for (int index = 0; index < 10; index++) {
+                addWorker("w" + index, 0, "r1", "a");
+            }
+            StepProto.Builder step = step(10, 4_000).setEstimateMs(4_000);
+
+            Plan plan = plan(IntStream.range(0, 6)
+                    .mapToObj(job -> demand("j" + job, 0, true, step))
+                    .toArray(StepDemand[]::new));
+
+            // Each worker frees room for one task, of which the first step takes half, the second a quarter, and so on.
+            assertThat(plan.adviceRequests().get(0).workers()).hasSize(10);
+            assertThat(plan.adviceRequests().stream().map(AdviceRequest::step))
+                    .containsExactly("j0.0.0", "j1.0.0", "j2.0.0")
+                    .inOrder();
+        }
+
         /** Guards against questions about more steps than the free capacity can take. */
         @Test
         void shouldNotCountOnCapacityThatEarlierQuestionWillUse() {
--- a/graph/src/test/java/org/lovagegrade/graph/planning/QuestionScopeTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/QuestionScopeTest.java
@@ -27,7 +27,7 @@
         List<TicketOption> options = new ArrayList<>();
         for (int index = 0; index < count; index++) {
             WorkerProto info = WorkerProto.newBuilder().setId("w" + index).build();
-            options.add(new TicketOption(new CandidateWorker(info, ResourceVector.NONE), tasks, probability));
+            options.add(new TicketOption(new CandidateWorker(info, ResourceVector.NONE), tasks, probability, false));
         }
         return options;
     }
