--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -18,6 +18,8 @@
 final class TicketRequests {
     /** More questions of a priority than this wait too long to be worth choosing. */
     private static final int MAX_REQUESTS_PER_PRIORITY = 32;
+    /** After so many steps without a worthwhile question, only steps with smaller tasks are examined. */
+    private static final int MAX_MISSES = 16;
     /** The gangs that may learn verdicts and renew tickets before they fit: as many as may reserve workers. */
     private static final int MAX_GANGS_AHEAD = 2;
     /** A question that costs less is asked before the step fits, so that its verdicts are known once it does. */
@@ -44,8 +46,20 @@
     /** The thousandths of a core on each worker that the steps of other questions will probably use. */
     private final Map<String, Double> claimedMilliCores = new HashMap<>();
 
+    /** The steps for which no question is worthwhile, so that those like them needn't be examined. */
+    private final Map<MissKey, Misses> misses = new HashMap<>();
+
     private int gangsAhead;
 
+    private record MissKey(String queue, String label, boolean isGang) {}
+
+    private record Misses(int count, long leastMilliCores) {
+        Misses plus(StepDemand demand) {
+            return new Misses(
+                    count + 1, Math.min(leastMilliCores, demand.step().perTask().milliCores()));
+        }
+    }
+
     /**
      * The workers that are suitable for a step, by the adviser's verdict.
      *
@@ -85,7 +99,10 @@
             claimPending(demand, suitable, tasks, fitWhenEmpty, share);
             return true;
         }
-        if (requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
+        Misses missed = missesOf(demand);
+        boolean isHopeless =
+                missed.count() >= MAX_MISSES && demand.step().perTask().milliCores() >= missed.leastMilliCores();
+        if (isHopeless || requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
             return false;
         }
         Optional<QuestionScope> scope = scopeForStart(demand, suitable, tasks, fit, fitWhenEmpty, share);
@@ -93,10 +110,19 @@
             scope = scopeForVerdicts(demand, suitable, tasks, fitWhenEmpty, share)
                     .or(() -> scopeForRenewal(demand, suitable, tasks, fit, fitWhenEmpty));
         }
-        scope.ifPresent(chosen -> add(demand, chosen, tasks));
+        scope.ifPresentOrElse(
+                chosen -> add(demand, chosen, tasks), () -> misses.put(missKey(demand), missed.plus(demand)));
         return scope.isPresent();
     }
 
+    private Misses missesOf(StepDemand demand) {
+        return misses.getOrDefault(missKey(demand), new Misses(0, Long.MAX_VALUE));
+    }
+
+    private static MissKey missKey(StepDemand demand) {
+        return new MissKey(demand.queue().getName(), demand.step().spec().getRequiredLabel(), isGang(demand));
+    }
+
     /** Requests tickets for one task on any of the given workers, unless a question about its step is pending. */
     void requestAny(StepDemand demand, List<CandidateWorker> workers, boolean isKnown) {
         if (advice.isPending(demand.step().name())) {
