Hold workers for gangs by predicted time, and waste less work with lost workers

A gang that didn't fit closed whole workers to all lower priorities until it did. Now the planner predicts when the gang will fit, by listed progress or by estimates that are corrected by the queue's measured run times, and lets work through that ends before or fits beside the gang. Holds are for all members or none, for one gang per worker, and bounded in time.

Gangs take few workers, and those that failed, stalled or were silent lately last. Runs with checkpoints that can't end before their worker leaves are stopped in time to save them. A new leader stops the members of a gang that lost one just as the former leader died; these ran on before.

Without the stop on leaving workers, or without the stop of broken gangs by a new leader, the test of each fails.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -21,10 +21,14 @@
 import org.lovagegrade.graph.planning.AdviceLookup;
 import org.lovagegrade.graph.planning.AdviceRequest;
 import org.lovagegrade.graph.planning.CandidateWorker;
+import org.lovagegrade.graph.planning.CapacityRelease;
+import org.lovagegrade.graph.planning.GangReservation;
+import org.lovagegrade.graph.planning.GangReservations;
 import org.lovagegrade.graph.planning.Placement;
 import org.lovagegrade.graph.planning.Plan;
 import org.lovagegrade.graph.planning.PlanOrder;
 import org.lovagegrade.graph.planning.Planner;
+import org.lovagegrade.graph.planning.RunTimes;
 import org.lovagegrade.graph.planning.StepDemand;
 import org.lovagegrade.graph.planning.Urgency;
 import org.lovagegrade.graph.planning.WorkspaceQuotas;
@@ -60,6 +64,9 @@
     private final AdviceBroker adviceBroker = new AdviceBroker();
     private final WorkerHealth health = new WorkerHealth();
     private final CrashingJobs crashingJobs;
+    private final RunTimes runTimes = new RunTimes();
+    private final LeavingWorkers leavingWorkers;
+    private final GangReservations gangReservations = new GangReservations(this::logReservation);
     /** Starts that were proposed to the log and are not committed yet. */
     private final Map<RunKey, Placement> proposedStarts = new HashMap<>();
     /** Whether anything that affects placement has changed since the last plan. */
@@ -84,6 +91,7 @@
         this.wallClock = wallClock;
         this.planOrder = planOrder;
         this.crashingJobs = new CrashingJobs(proposer, metrics);
+        this.leavingWorkers = new LeavingWorkers(driver.timings(), runTimes);
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
     }
@@ -97,6 +105,7 @@
         if (nowMs >= nextStallCheckMs) {
             nextStallCheckMs = nowMs + STALL_CHECK_INTERVAL_MS;
             stopStalled(nowMs);
+            stopOnLeavingWorkers(nowMs);
         }
         adviceBroker.tick(nowMs);
         boolean isDue = (dirty && nowMs >= nextPlanMs) || nowMs >= planDeadlineMs;
@@ -118,6 +127,17 @@
         }
     }
 
+    /** Stops runs that can save a checkpoint before their worker leaves. */
+    private void stopOnLeavingWorkers(long nowMs) {
+        for (RunRecord run : leavingWorkers.runsToStop(driver.sessions(), nowMs)) {
+            Log.event("runEvicted")
+                    .with("run", run.key().toString())
+                    .with("worker", run.worker())
+                    .info();
+            driver.requestStop(run, nowMs);
+        }
+    }
+
     // --- requests
 
     /**
@@ -143,7 +163,7 @@
         boolean isStale = current.info().getBornMs() > reported.getBornMs()
                 || current.info().getSequence() > reported.getSequence();
         if (!isStale) {
-            driver.session(reported.getId()).ifPresent(session -> session.lastHeartbeatMs = nowMs);
+            driver.session(reported.getId()).ifPresent(session -> session.recordReport(reported, nowMs));
         }
         if (isStale || isUnchanged(current.info(), reported)) {
             acknowledge.run();
@@ -161,10 +181,11 @@
     }
 
     private static boolean isUnchanged(WorkerProto current, WorkerProto reported) {
-        return current.toBuilder()
-                .setSequence(0)
-                .build()
-                .equals(reported.toBuilder().setSequence(0).build());
+        return withoutVolatileFields(current).equals(withoutVolatileFields(reported));
+    }
+
+    private static WorkerProto withoutVolatileFields(WorkerProto worker) {
+        return worker.toBuilder().clearSequence().clearRemainingMs().build();
     }
 
     /** Marks a worker as leaving, and proposes its removal at once if nothing runs there. */
@@ -205,6 +226,11 @@
 
     @Override
     public void runEnded(RunRecord run, RunEndProto how) {
+        if (how == RunEndProto.RUN_DONE) {
+            driver.tracker(run)
+                    .map(tracker -> tracker.wholeRunMs(clock.nowMs()))
+                    .ifPresent(tookMs -> tookMs.ifPresent(known -> runTimes.record(run.step(), known)));
+        }
         driver.runEnded(run, how);
         dirty = true;
         if (how == RunEndProto.RUN_DONE) {
@@ -294,7 +320,9 @@
         if (demands.isEmpty()) {
             return;
         }
-        Plan plan = new Planner(candidateWorkers(nowMs), adviceLookup(nowMs), quotas()).plan(demands);
+        Plan plan = new Planner(
+                        candidateWorkers(nowMs), adviceLookup(nowMs), quotas(), gangReservations, runTimes, nowMs)
+                .plan(demands);
         for (AdviceRequest adviceRequest : plan.adviceRequests()) {
             Log.event("adviceWanted")
                     .with("step", adviceRequest.step())
@@ -313,6 +341,16 @@
         }
     }
 
+    private void logReservation(GangReservation reservation) {
+        Log.event("gangReserved")
+                .with("step", reservation.step())
+                .with("workers", reservation.membersByWorker().size())
+                .with(
+                        "inMs",
+                        reservation.startMs() == CapacityRelease.UNKNOWN ? -1 : reservation.startMs() - clock.nowMs())
+                .info();
+    }
+
     private void propose(List<Placement> placements) {
         StartsProto.Builder starts = StartsProto.newBuilder();
         for (Placement placement : placements) {
@@ -415,6 +453,10 @@
                         candidate.isolate(run.step().job().id());
                     }
                 }
+                candidate.setRunningReleases(() -> releasesOf(session, nowMs));
+                if (health.isDoubtful(session.id()) || session.wasSilentLately(nowMs)) {
+                    candidate.markUnreliable();
+                }
                 candidatesById.put(session.id(), candidate);
                 usable.add(candidate);
             }
@@ -422,7 +464,8 @@
         for (Placement placement : proposedStarts.values()) {
             CandidateWorker candidate = candidatesById.get(placement.worker().getId());
             if (candidate != null) {
-                candidate.addStart(placement.step());
+                candidate.addStart(
+                        placement.step(), CapacityRelease.endOf(nowMs, runTimes.expectedMs(placement.step())));
                 if (placement.task().crashHistory().isSuspect()) {
                     candidate.isolate(placement.step().job().id());
                 }
@@ -431,6 +474,19 @@
         return usable;
     }
 
+    private List<CapacityRelease> releasesOf(WorkerSession session, long nowMs) {
+        List<CapacityRelease> releases = new ArrayList<>();
+        for (RunRecord run : session.record.runs().values()) {
+            long expectedMs = runTimes.expectedMs(run.step());
+            RunTracker tracker = session.runs.get(run.key());
+            long endMs = tracker == null
+                    ? CapacityRelease.endOf(nowMs, expectedMs)
+                    : tracker.expectedEndMs(expectedMs, nowMs, driver.timings().stopMs());
+            releases.add(new CapacityRelease(run.step().perTask(), endMs));
+        }
+        return releases;
+    }
+
     private AdviceLookup adviceLookup(long nowMs) {
         return new AdviceLookup() {
             @Override
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -1,6 +1,8 @@
 package org.lovagegrade.graph.leader;
 
+import java.util.OptionalLong;
 import org.lovagegrade.graph.machine.RunRecord;
+import org.lovagegrade.graph.planning.CapacityRelease;
 
 /** Tracks the orders for one run, from its start until its end is proposed. */
 final class RunTracker {
@@ -25,6 +27,11 @@
     /** A run that its worker survived for longer is an unlikely cause of the worker's crash. */
     private static final long SOON_AFTER_START_MS = 100;
 
+    /** Less progress gives no reliable speed. */
+    private static final int MIN_PROGRESS_PERCENT = 10;
+    /** A run that takes longer than expected is expected to go on for this fraction of its expected time. */
+    private static final long OVERRUN_DIVISOR = 5;
+
     final RunRecord run;
     final String ticket;
     Phase phase;
@@ -53,12 +60,18 @@
 
     private int percent = -1;
     private long percentSinceMs;
+    private int firstPercent = -1;
+    private long firstPercentMs;
+
+    /** The run was started in an earlier term, so that its start time is unknown. */
+    private final boolean isTakenOver;
 
     RunTracker(RunRecord run, String ticket, Phase phase, long nowMs) {
         this.run = run;
         this.ticket = ticket;
         this.phase = phase;
         this.percentSinceMs = nowMs;
+        this.isTakenOver = phase == Phase.VERIFYING;
         this.orderSent = phase == Phase.VERIFYING;
     }
 
@@ -89,7 +102,46 @@
         if (listedPercent != percent) {
             percent = listedPercent;
             percentSinceMs = nowMs;
+            if (firstPercent < 0) {
+                firstPercent = listedPercent;
+                firstPercentMs = nowMs;
+            }
         }
         noProgressMs = nowMs - percentSinceMs;
     }
+
+    /** How long the run has taken from its first start to now, in milliseconds, if both are known. */
+    OptionalLong wholeRunMs(long nowMs) {
+        boolean isKnown =
+                !isTakenOver && existsSinceMs != NEVER_SEEN && run.checkpoint().isEmpty();
+        return isKnown ? OptionalLong.of(nowMs - existsSinceMs) : OptionalLong.empty();
+    }
+
+    /**
+     * Predicts the end of the run by its listed progress, or else by its expected time.
+     *
+     * @param expectedMs the expected time of a whole run, in milliseconds, or {@link CapacityRelease#NEVER} or
+     *     {@link CapacityRelease#UNKNOWN}
+     * @param nowMs the present time, on the monotonic clock in milliseconds
+     * @param stopMs how long a stop takes, in milliseconds
+     * @return the expected end, not before {@code nowMs}, or one of these constants
+     */
+    long expectedEndMs(long expectedMs, long nowMs, long stopMs) {
+        if (stopRequested) {
+            return nowMs + stopMs;
+        }
+        if (expectedMs == CapacityRelease.NEVER) {
+            return expectedMs;
+        }
+        int progress = percent - firstPercent;
+        if (progress >= MIN_PROGRESS_PERCENT) {
+            long perPercentMs = (percentSinceMs - firstPercentMs) / progress;
+            return Math.max(nowMs, percentSinceMs + perPercentMs * (100 - percent));
+        }
+        if (expectedMs == CapacityRelease.UNKNOWN) {
+            return expectedMs;
+        }
+        long sinceMs = existsSinceMs == NEVER_SEEN ? nowMs : existsSinceMs;
+        return Math.max(sinceMs + expectedMs, nowMs + expectedMs / OVERRUN_DIVISOR);
+    }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -118,6 +118,15 @@
         return Optional.ofNullable(sessions.get(worker));
     }
 
+    /** Finds the orders for a run whose end is not committed. */
+    Optional<RunTracker> tracker(RunRecord run) {
+        return session(run.worker()).map(session -> session.runs.get(run.key()));
+    }
+
+    LeaderTimings timings() {
+        return timings;
+    }
+
     /** Whether runs may be started on a worker, which also takes a recent report of its capacity. */
     boolean isUsable(WorkerSession session, long nowMs) {
         boolean isReportRecent = nowMs - session.lastHeartbeatMs <= timings.maxReportAgeMs();
@@ -170,7 +179,7 @@
         }
         for (RunRecord run : record.runs().values()) {
             RunTracker tracker = new RunTracker(run, "", RunTracker.Phase.VERIFYING, nowMs);
-            tracker.stopRequested = run.isObsolete();
+            tracker.stopRequested = run.isObsolete() || run.isOfBrokenGang();
             session.runs.put(run.key(), tracker);
         }
         sessions.put(session.id(), session);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerHealth.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerHealth.java
@@ -70,6 +70,11 @@
         return suspicion == null || !suspicion.isSuspect || (nowMs >= suspicion.pauseUntilMs && runs == 0);
     }
 
+    /** Whether a run failed or stalled on a worker, and none has completed there since. */
+    boolean isDoubtful(String worker) {
+        return suspicionsByWorker.containsKey(worker);
+    }
+
     /** The workers on which a task has failed or stalled. */
     Set<String> workersToAvoid(TaskKey task) {
         return workersToAvoid.getOrDefault(task, Set.of());
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -25,6 +25,9 @@
     /** Longer than the time between two answers, since a crash is only known to lie between two of them. */
     private static final long HARMLESS_MARGIN_MS = 2_000;
 
+    /** A worker is as likely to fall silent again for about as long as partitions of single workers last. */
+    private static final long RECENTLY_SILENT_MS = 10_000;
+
     final WorkerRecord record;
     final WorkerClock clock = new WorkerClock();
     final Map<RunKey, RunTracker> runs = new HashMap<>();
@@ -52,6 +55,11 @@
     /** When the first order or renewal since the last answer went unanswered. */
     private long firstUnansweredMs;
 
+    private long lastUnansweredMs = -RECENTLY_SILENT_MS;
+
+    /** When the worker, which has announced its end, leaves by its last report; 0 if that is unknown. */
+    long leavesAtMs;
+
     /** The connection of a renewal broke, and no answer has arrived since. */
     private boolean connectionBroken;
 
@@ -91,12 +99,19 @@
         connectionBroken = false;
     }
 
+    /** Records what changes with every report; all else in it comes through the log. */
+    void recordReport(WorkerProto reported, long nowMs) {
+        lastHeartbeatMs = nowMs;
+        leavesAtMs = reported.getRemainingMs() > 0 ? nowMs + reported.getRemainingMs() : 0;
+    }
+
     /** Waits for a new report: the worker may have been cut off since an earlier leader received the last one. */
     void forgetReport() {
         lastHeartbeatMs = 0;
     }
 
     void recordUnanswered(long nowMs) {
+        lastUnansweredMs = nowMs;
         if (!lastOrderUnanswered) {
             lastOrderUnanswered = true;
             firstUnansweredMs = nowMs;
@@ -114,6 +129,11 @@
         return connectionBroken ? Math.max(lastAnswerMs, firstUnansweredMs - BROKEN_CONNECTION_DELAY_MS) : lastAnswerMs;
     }
 
+    /** Whether the worker has left an order or a renewal unanswered lately. */
+    boolean wasSilentLately(long nowMs) {
+        return nowMs - lastUnansweredMs < RECENTLY_SILENT_MS;
+    }
+
     /** When the worker first left an order unanswered since its last answer, or now if it has left none. */
     long unansweredSinceMs(long nowMs) {
         return lastOrderUnanswered ? firstUnansweredMs : nowMs;
--- a/graph/src/main/java/org/lovagegrade/graph/machine/RunRecord.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/RunRecord.java
@@ -40,4 +40,13 @@
         TaskRecord task = step.tasks().get(key.task().index());
         return step.job().isFinished() || task.run() != key.run() || !task.isRunning();
     }
+
+    /**
+     * Whether the run belongs to a gang that has lost another member, so that it can't complete.
+     *
+     * @return true if a task of its gang waits for a new run
+     */
+    public boolean isOfBrokenGang() {
+        return step.spec().getGang() && step.waitingTasks() > 0;
+    }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
@@ -1,7 +1,11 @@
 package org.lovagegrade.graph.planning;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.wire.proto.WorkerProto;
@@ -11,7 +15,10 @@
     private final WorkerProto info;
     private final Map<String, Integer> tasksByStep = new HashMap<>();
     private ResourceVector free;
-    private int reservedForPriority = Integer.MAX_VALUE;
+    private Supplier<List<CapacityRelease>> runningReleases = List::of;
+    private final List<CapacityRelease> startReleases = new ArrayList<>();
+    private CapacityHold hold;
+    private boolean isUnreliable;
     private int runs;
     private String isolatedJob = "";
 
@@ -81,10 +88,41 @@
      * Adds a run that starts: one of this plan, or one that was proposed and is not yet committed.
      *
      * @param step the step of its task
+     * @param endMs when it is expected to end, on the monotonic clock in milliseconds
      */
-    public void addStart(StepRecord step) {
+    public void addStart(StepRecord step, long endMs) {
         allocate(step.perTask());
         addRun(step);
+        startReleases.add(new CapacityRelease(step.perTask(), endMs));
+        if (hold != null) {
+            hold.addRun(step.perTask(), endMs);
+        }
+    }
+
+    /**
+     * Sets the expected ends of the runs on this worker, which are determined only if the plan needs them.
+     *
+     * @param releases supplies the ends of all runs that were not added as starts
+     */
+    public void setRunningReleases(Supplier<List<CapacityRelease>> releases) {
+        runningReleases = releases;
+    }
+
+    /** The expected ends of all runs, the earliest first. Capacity that no known run holds is not released. */
+    List<CapacityRelease> releases() {
+        List<CapacityRelease> all = new ArrayList<>(runningReleases.get());
+        all.addAll(startReleases);
+        all.sort(Comparator.comparingLong(CapacityRelease::atMs));
+        return all;
+    }
+
+    /** Marks this worker as one that failed, stalled or was silent lately, which gangs avoid. */
+    public void markUnreliable() {
+        isUnreliable = true;
+    }
+
+    boolean isUnreliable() {
+        return isUnreliable;
     }
 
     /**
@@ -104,12 +142,22 @@
         return isolatedJob.equals(job);
     }
 
-    /** Reserves this worker for queues whose priority number is at most the given one. */
-    void reserveFor(int priority) {
-        reservedForPriority = Math.min(reservedForPriority, priority);
+    /** Holds capacity of this worker for a gang; a worker has at most one hold. */
+    void setHold(CapacityHold newHold) {
+        hold = newHold;
+    }
+
+    /** Removes what an earlier plan held. */
+    void removeHold() {
+        hold = null;
+    }
+
+    boolean isHeld() {
+        return hold != null;
     }
 
-    boolean isOpenTo(int priority) {
-        return priority <= reservedForPriority;
+    /** How many of {@code max} runs don't delay the gang for which capacity is held. */
+    int fittingBesideHold(ResourceVector need, int priority, long endMs, int max) {
+        return hold.binds(priority, endMs) ? hold.fitting(need, max) : max;
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -12,18 +12,20 @@
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.wire.proto.AdviceCostProto;
-import org.lovagegrade.wire.proto.StepProto;
 
 /**
  * Makes one plan: visits the steps in order and places their tasks on suitable workers. A step that fits but lacks a
  * valid ticket requests one, and its capacity is held back from the steps after it. The first gangs that don't fit
- * reserve workers against queues of lower priority, so that smaller tasks don't starve them.
+ * hold workers against work of the same or a lower priority that would delay them, so that smaller tasks don't starve
+ * them.
  *
  * <p>Example: {@code Plan plan = new Planner(workers, advice, quotas).plan(demands);}
  */
 public final class Planner {
-    /** The number of waiting gangs that may reserve workers in one plan. */
+    /** The number of waiting gangs that may hold workers in one plan. */
     private static final int MAX_GANGS_WITH_RESERVATION = 2;
+    /** The number of waiting gangs whose start may be predicted in one plan, which takes a pass over all runs. */
+    private static final int MAX_GANGS_CONSIDERED = 4;
     /** The workers named in a request may raise its cost by at most this fraction of the adviser's fixed cost. */
     private static final double MAX_COST_SHARE_OF_WORKERS = 0.4;
     /** This many workers may be named in a request whatever they cost. */
@@ -39,7 +41,11 @@
     private final List<Placement> placements = new ArrayList<>();
     private final List<AdviceRequest> adviceRequests = new ArrayList<>();
     private final Isolation isolation;
+    private final GangReservations reservations;
+    private final RunTimes runTimes;
+    private final long nowMs;
     private int gangsWithReservation;
+    private int gangsConsidered;
 
     /**
      * Creates a planner for one plan.
@@ -47,11 +53,23 @@
      * @param workers the workers that may receive starts; their free resources change during planning
      * @param advice the adviser's verdicts
      * @param quotas the limits and the usage of workspaces; the usage changes during planning
+     * @param reservations the workers held for gangs, from one plan to the next
+     * @param runTimes predicts run times
+     * @param nowMs the present time, on the monotonic clock in milliseconds
      */
-    public Planner(List<CandidateWorker> workers, AdviceLookup advice, WorkspaceQuotas quotas) {
+    public Planner(
+            List<CandidateWorker> workers,
+            AdviceLookup advice,
+            WorkspaceQuotas quotas,
+            GangReservations reservations,
+            RunTimes runTimes,
+            long nowMs) {
         this.workers = workers;
         this.advice = advice;
         this.quotas = quotas;
+        this.reservations = reservations;
+        this.runTimes = runTimes;
+        this.nowMs = nowMs;
         this.isolation = new Isolation(workers);
     }
 
@@ -62,6 +80,7 @@
      * @return the starts, and the advice that is needed for others
      */
     public Plan plan(List<StepDemand> demands) {
+        workers.forEach(CandidateWorker::removeHold);
         for (StepDemand demand : demands) {
             if (demand.step().spec().getGang()) {
                 planGang(demand);
@@ -69,6 +88,7 @@
                 planTasks(demand);
             }
         }
+        reservations.removeExpired(nowMs);
         return new Plan(List.copyOf(placements), List.copyOf(adviceRequests));
     }
 
@@ -108,10 +128,8 @@
             if (!quotas.allows(workspace(demand), need)) {
                 return;
             }
-            Optional<CandidateWorker> selected = isolation.select(
-                    demand,
-                    candidates.allowed,
-                    worker -> hasRoom(demand, worker, need) && worker.isOpenTo(demand.priority()));
+            Optional<CandidateWorker> selected =
+                    isolation.select(demand, candidates.allowed, worker -> hasRoom(demand, worker));
             if (selected.isEmpty()) {
                 prepareIsolation(demand, candidates);
                 return;
@@ -144,26 +162,36 @@
     }
 
     /** Selects the best fit: not an avoided worker, then near the data, then with the fewest free cores. */
-    private static Optional<CandidateWorker> selectWorker(StepDemand demand, int index, List<CandidateWorker> from) {
-        ResourceVector need = demand.step().perTask();
+    private Optional<CandidateWorker> selectWorker(StepDemand demand, int index, List<CandidateWorker> from) {
         Set<String> avoided = demand.avoidedWorkers().apply(index);
         return from.stream()
-                .filter(worker -> canHost(demand, worker, need))
+                .filter(worker -> canHost(demand, worker))
                 .min(Comparator.<CandidateWorker>comparingInt(worker -> avoided.contains(worker.id()) ? 1 : 0)
                         .thenComparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
                         .thenComparingLong(worker -> worker.free().milliCores()));
     }
 
-    private static boolean canHost(StepDemand demand, CandidateWorker worker, ResourceVector need) {
+    private boolean canHost(StepDemand demand, CandidateWorker worker) {
         boolean isOpen = !worker.isIsolated() || (demand.hasSuspects() && worker.isIsolatedFor(demand.job()));
-        return isOpen && hasRoom(demand, worker, need) && worker.isOpenTo(demand.priority());
+        return isOpen && hasRoom(demand, worker);
+    }
+
+    private boolean hasRoom(StepDemand demand, CandidateWorker worker) {
+        return demand.step().perTask().fitsInto(worker.free()) && fitting(demand, worker, 1) > 0;
+    }
+
+    /** How many tasks of a step a worker can take now without delaying a gang, at most {@code max}. */
+    private int fitting(StepDemand demand, CandidateWorker worker, int max) {
+        ResourceVector need = demand.step().perTask();
+        int limit = Math.min(max, remainingStepTasks(demand, worker));
+        int fitting = limit <= 0 ? 0 : need.timesInto(worker.free(), limit);
+        return fitting > 0 && worker.isHeld()
+                ? worker.fittingBesideHold(need, demand.priority(), endMs(demand.step()), fitting)
+                : fitting;
     }
 
-    private static boolean hasRoom(StepDemand demand, CandidateWorker worker, ResourceVector need) {
-        StepProto spec = demand.step().spec();
-        boolean isBelowStepLimit =
-                spec.getMostPerWorker() <= 0 || worker.tasksOf(demand.step().name()) < spec.getMostPerWorker();
-        return isBelowStepLimit && need.fitsInto(worker.free());
+    private long endMs(StepRecord step) {
+        return CapacityRelease.endOf(nowMs, runTimes.expectedMs(step));
     }
 
     private static boolean isNearData(StepDemand demand, CandidateWorker worker) {
@@ -193,6 +221,7 @@
             if (isSuspect) {
                 selected.forEach(worker -> worker.isolate(demand.job()));
             }
+            reservations.release(step.name());
             int run = step.nextGangRun();
             for (int index = 0; index < members; index++) {
                 place(demand, index, run, selected.get(index));
@@ -207,7 +236,7 @@
 
     /**
      * Returns a worker for each task, several times if it can run several; fewer than {@code members} if not all fit.
-     * Prefers a single rack for a step that asks for it.
+     * Prefers few workers, since a gang is lost with any of them, and a single rack for a step that asks for it.
      */
     private List<CandidateWorker> selectWorkers(StepDemand demand, List<CandidateWorker> from, int members) {
         if (demand.step().spec().getRackLocal()) {
@@ -225,26 +254,32 @@
     }
 
     private List<CandidateWorker> selectAcrossRacks(StepDemand demand, List<CandidateWorker> from, int members) {
-        ResourceVector need = demand.step().perTask();
-        List<CandidateWorker> byFreeCores = from.stream()
-                .filter(worker -> canHost(demand, worker, need))
-                .sorted(Comparator.<CandidateWorker>comparingInt(worker -> isAvoidedByGang(demand, worker) ? 1 : 0)
-                        .thenComparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
-                        .thenComparingLong(worker -> -worker.free().milliCores()))
+        Set<String> avoided = workersAvoidedByGang(demand);
+        List<Room> rooms = from.stream()
+                .filter(worker -> canHost(demand, worker))
+                .map(worker -> new Room(worker, fitting(demand, worker, members)))
+                .sorted(Comparator.<Room>comparingInt(
+                                room -> room.worker.isUnreliable() || avoided.contains(room.worker.id()) ? 1 : 0)
+                        .thenComparingInt(room -> isNearData(demand, room.worker) ? 0 : 1)
+                        .thenComparingInt(room -> -room.tasks)
+                        .thenComparingLong(room -> room.worker.free().milliCores()))
                 .toList();
         List<CandidateWorker> selected = new ArrayList<>();
-        for (CandidateWorker worker : byFreeCores) {
-            int fitting = Math.min(need.timesInto(worker.free(), members), remainingStepTasks(demand, worker));
-            for (int count = 0; count < fitting && selected.size() < members; count++) {
-                selected.add(worker);
+        for (Room room : rooms) {
+            for (int count = 0; count < room.tasks && selected.size() < members; count++) {
+                selected.add(room.worker);
             }
         }
         return selected;
     }
 
-    private static boolean isAvoidedByGang(StepDemand demand, CandidateWorker worker) {
+    /** A worker with the number of tasks that it can take. */
+    private record Room(CandidateWorker worker, int tasks) {}
+
+    private static Set<String> workersAvoidedByGang(StepDemand demand) {
         return demand.waiting().stream()
-                .anyMatch(index -> demand.avoidedWorkers().apply(index).contains(worker.id()));
+                .flatMap(index -> demand.avoidedWorkers().apply(index).stream())
+                .collect(Collectors.toSet());
     }
 
     private static int remainingStepTasks(StepDemand demand, CandidateWorker worker) {
@@ -254,25 +289,22 @@
                 : limit - worker.tasksOf(demand.step().name());
     }
 
-    /** Reserves workers for a gang that doesn't fit now: enough to run all members once these workers are empty. */
+    /** Holds workers for a gang that doesn't fit now: enough to run all members at the same time. */
     private void reserve(StepDemand demand, Candidates candidates, int members) {
         List<CandidateWorker> eligible = new ArrayList<>(candidates.allowed);
         eligible.addAll(candidates.stale);
-        if (eligible.isEmpty() || gangsWithReservation >= MAX_GANGS_WITH_RESERVATION) {
+        boolean mayReserve = gangsWithReservation < MAX_GANGS_WITH_RESERVATION
+                && gangsConsidered < MAX_GANGS_CONSIDERED
+                && !reservations.isPaused(demand.step().name(), nowMs);
+        if (eligible.isEmpty() || !mayReserve) {
             return;
         }
-        gangsWithReservation++;
-        eligible.sort(Comparator.comparingLong(worker -> -worker.free().milliCores()));
-        int reserved = 0;
-        for (CandidateWorker worker : eligible) {
-            if (reserved >= members) {
-                return;
-            }
-            ResourceVector capacity = ResourceVector.of(worker.info().getCapacity());
-            reserved +=
-                    Math.min(demand.step().perTask().timesInto(capacity, members), remainingStepTasks(demand, worker));
-            worker.reserveFor(demand.hasSuspects() ? HIGHEST_PRIORITY : demand.priority());
-        }
+        gangsConsidered++;
+        boolean hasSuspects = demand.hasSuspects();
+        int priority = hasSuspects ? HIGHEST_PRIORITY : demand.priority();
+        boolean isHeld =
+                reservations.hold(new GangRequest(demand.step(), members, priority, hasSuspects), eligible, nowMs);
+        gangsWithReservation += isHeld ? 1 : 0;
     }
 
     // --- advice
@@ -349,7 +381,7 @@
 
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
         ResourceVector need = demand.step().perTask();
-        worker.addStart(demand.step());
+        worker.addStart(demand.step(), endMs(demand.step()));
         quotas.allocate(workspace(demand), need);
         placements.add(new Placement(demand.step(), index, run, worker.info()));
     }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -15,6 +15,7 @@
 import org.lovagegrade.graph.machine.JobRecord;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.RunKey;
+import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.TaskKey;
 import org.lovagegrade.graph.planning.PlanOrder;
 import org.lovagegrade.graph.worker.EndedRunView;
@@ -25,6 +26,8 @@
 import org.lovagegrade.graph.worker.StartOrder;
 import org.lovagegrade.graph.worker.WorkerLink;
 import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.wire.proto.EndProto;
+import org.lovagegrade.wire.proto.EndsProto;
 import org.lovagegrade.wire.proto.FleetDocumentProto;
 import org.lovagegrade.wire.proto.GraphCommandProto;
 import org.lovagegrade.wire.proto.GraphProto;
@@ -75,6 +78,8 @@
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
     private int crashesWithRunsOfOtherJobs;
+    private boolean runsLast;
+    private final Map<String, Integer> stopsByJob = new HashMap<>();
     private long crashDelayMs = 10;
     private long rebootMs = REBOOT_MS;
 
@@ -134,6 +139,39 @@
         rebootMs = durationMs;
     }
 
+    /** From now on runs go on until they are stopped. */
+    void makeRunsLast() {
+        runsLast = true;
+    }
+
+    /** Ends a run of the job just as the leader dies: the end is committed, but no leader has reacted to it. */
+    void loseRunAsTheLeaderDies(String job) {
+        RunRecord lost = machine.runs().values().stream()
+                .filter(run -> run.key().task().job().equals(job))
+                .findFirst()
+                .orElseThrow();
+        EndedRunView end = workers.get(lost.worker())
+                .end(lost.key(), RunEndProto.RUN_FAILED)
+                .orElseThrow();
+        elect();
+        machine.apply(GraphCommandProto.newBuilder()
+                .setAtMs(time.nowMs())
+                .setEnd(EndsProto.newBuilder()
+                        .setWorker(lost.worker())
+                        .setBornMs(lost.bornMs())
+                        .setCursor(end.number())
+                        .addEnds(EndProto.newBuilder()
+                                .setTask(lost.key().task().toProto())
+                                .setRun(lost.key().run())
+                                .setHow(RunEndProto.RUN_FAILED)))
+                .build());
+    }
+
+    /** How many orders to stop a run of the job were sent. */
+    int stopsSentFor(String job) {
+        return stopsByJob.getOrDefault(job, 0);
+    }
+
     /** How many workers crashed under a crashing task while they also had runs of other jobs. */
     int crashesWithRunsOfOtherJobs() {
         return crashesWithRunsOfOtherJobs;
@@ -244,6 +282,18 @@
         worker.resize(isWhole ? HALF_CAPACITY : CAPACITY, CONTACT_MS + HEARTBEAT_MS);
     }
 
+    /** Withdraws a worker with notice; another incarnation follows it. */
+    void drainOne(long noticeMs) {
+        String id = "w" + random.nextInt(workers.size());
+        SimulatedWorker worker = workers.get(id);
+        worker.drain(noticeMs);
+        time.after(noticeMs, () -> {
+            if (workers.get(id) == worker) {
+                crash(id, REBOOT_MS);
+            }
+        });
+    }
+
     String submit(StepProto... steps) {
         String id = "job" + nextJob++;
         GraphProto.Builder graph =
@@ -295,7 +345,7 @@
             }
             return;
         }
-        if (isGangWithCrashingMember(run)) {
+        if (runsLast || isGangWithCrashingMember(run)) {
             return;
         }
         RunEndProto how = random.nextInt(20) == 0 ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
@@ -322,6 +372,10 @@
         crash(worker.info().getId(), rebootMs);
     }
 
+    boolean savesCheckpoints(TaskKey task) {
+        return job(task.job()).step(task.occurrence(), task.step()).spec().getCheckpointing();
+    }
+
     ResourceVector resourcesOf(TaskKey task) {
         return job(task.job()).step(task.occurrence(), task.step()).perTask();
     }
@@ -369,6 +423,7 @@
 
     @Override
     public void stop(WorkerProto worker, RunKey run, long fencingToken, Consumer<OrderOutcome> result) {
+        stopsByJob.merge(run.task().job(), 1, Integer::sum);
         deliver(worker, (target, _isLate) -> target.stop(run, fencingToken), result);
     }
 
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.TaskKey;
@@ -43,6 +44,7 @@
     private long lastEndBeforeExpiry;
 
     private boolean isUp = true;
+    private long leavesAtMs;
     /** Before this time a start may exceed a changed capacity, since the leader need not know it yet; 0 if unchanged. */
     private long capacityBindsFromMs;
 
@@ -70,7 +72,18 @@
     }
 
     WorkerProto info() {
-        return info;
+        return leavesAtMs == 0
+                ? info
+                : info.toBuilder()
+                        .setDraining(true)
+                        .setRemainingMs(Math.max(1, leavesAtMs - time.nowMs()))
+                        .build();
+    }
+
+    /** Announces the end of this incarnation, which the next heartbeat shows. */
+    void drain(long remainingMs) {
+        info = info.toBuilder().setSequence(info.getSequence() + 1).build();
+        leavesAtMs = time.nowMs() + remainingMs;
     }
 
     boolean isUp() {
@@ -192,14 +205,18 @@
         }
     }
 
-    void end(RunKey run, RunEndProto how) {
+    /** Ends a run if it is running, and returns its end as it is listed from now on. */
+    Optional<EndedRunView> end(RunKey run, RunEndProto how) {
         if (!isUp || running.getOrDefault(run.task(), 0) != run.run()) {
-            return;
+            return Optional.empty();
         }
         running.remove(run.task());
         used = used.minus(cell.resourcesOf(run.task()));
         highestEnded.merge(run.task(), run.run(), Math::max);
         endCount++;
-        ends.add(new EndedRunView(endCount, run, how, ""));
+        String checkpoint = how == RunEndProto.RUN_STOPPED && cell.savesCheckpoints(run.task()) ? "saved" : "";
+        EndedRunView end = new EndedRunView(endCount, run, how, checkpoint);
+        ends.add(end);
+        return Optional.of(end);
     }
 }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagegrade.wire.proto.GraphStateProto;
+import org.lovagegrade.wire.proto.StepProto;
 
 final class WorkerDriverFuzzTest {
     private static final int WORKERS = 4;
@@ -84,6 +85,22 @@
             }
         }
 
+        /** Guards against runs that are stopped for a leaving worker and started twice, or not again. */
+        @Test
+        void shouldViolateNoInvariantWhenWorkersLeaveWithNotice() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = new SimulatedCell(seed, WORKERS, 0.08);
+                Random random = new Random(seed);
+                simulate(cell, seed, () -> {
+                    if (random.nextInt(5) == 0) {
+                        cell.drainOne(1_500);
+                    }
+                });
+
+                assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+            }
+        }
+
         @Test
         void shouldCompleteAllJobsOnceDisruptionsEnd() {
             for (long seed = 0; seed < 20; seed++) {
@@ -137,6 +154,66 @@
         }
     }
 
+    @Nested
+    final class LeavingWorkers {
+        private static final StepProto LONG_TASKS = SimulatedCell.tasks(4, 1_000, false).toBuilder()
+                .setCheckpointing(true)
+                .setEstimateMs(60_000)
+                .build();
+
+        private SimulatedCell cellWithLeavingWorker(StepProto step) {
+            SimulatedCell cell = new SimulatedCell(5, 1, 0);
+            cell.time.advance(2_000);
+            cell.makeRunsLast();
+            cell.submit(step);
+            cell.time.advance(100);
+            cell.drainOne(1_000);
+            cell.time.advance(900);
+            return cell;
+        }
+
+        private long savedTasks(SimulatedCell cell) {
+            return cell.job("job0").step(0, 0).tasks().stream()
+                    .filter(task -> task.checkpoint().equals("saved"))
+                    .count();
+        }
+
+        /** Guards against progress that is lost with the worker although it could have been saved. */
+        @Test
+        void shouldSaveCheckpointsBeforeTheyLeave() {
+            SimulatedCell cell = cellWithLeavingWorker(LONG_TASKS);
+
+            assertThat(savedTasks(cell)).isAtLeast(1);
+            assertThat(cell.machine().runs()).isEmpty();
+        }
+
+        @Test
+        void shouldKeepRunsThatEndBeforeTheyLeave() {
+            SimulatedCell cell = cellWithLeavingWorker(
+                    LONG_TASKS.toBuilder().setEstimateMs(500).build());
+
+            assertThat(savedTasks(cell)).isEqualTo(0);
+        }
+    }
+
+    @Nested
+    final class GangsOfEarlierLeaders {
+        /** Guards against members that go on without the lost one, because the former leader died before it stopped them. */
+        @Test
+        void shouldBeStoppedIfTheyHaveLostAMember() {
+            SimulatedCell cell = new SimulatedCell(1, WORKERS, 0);
+            cell.time.advance(2_000);
+            cell.makeRunsLast();
+            String job = cell.submit(SimulatedCell.tasks(WORKERS, 4_000, true));
+            cell.time.advance(100);
+            cell.loseRunAsTheLeaderDies(job);
+
+            cell.time.advance(1_500);
+
+            assertThat(cell.stopsSentFor(job)).isAtLeast(WORKERS - 1);
+        }
+    }
+
     @Nested
     final class WithoutFaults {
         @Test
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -33,6 +33,8 @@
     private final List<CandidateWorker> workers = new ArrayList<>();
     private final WorkspaceQuotas quotas = new WorkspaceQuotas();
     private final FakeAdvice advice = new FakeAdvice();
+    private final GangReservations reservations = new GangReservations(_reservation -> {});
+    private long nowMs = 1_000;
     private Set<String> avoidedWorkers = Set.of();
     private Set<Integer> suspects = Set.of();
 
@@ -97,7 +99,7 @@
     }
 
     private Plan plan(StepDemand... demands) {
-        return new Planner(workers, advice, quotas).plan(List.of(demands));
+        return new Planner(workers, advice, quotas, reservations, new RunTimes(), nowMs).plan(List.of(demands));
     }
 
     private static List<String> workersOf(Plan plan) {
@@ -219,6 +221,131 @@
         }
     }
 
+    @Nested
+    final class HeldWorkers {
+        private final List<GangReservation> made = new ArrayList<>();
+        private final GangReservations recorded = new GangReservations(made::add);
+
+        private Plan planAt(long atMs, StepDemand... demands) {
+            return new Planner(workers, advice, quotas, recorded, new RunTimes(), atMs).plan(List.of(demands));
+        }
+
+        /** Adds a worker of 16 cores with a run on some of them that ends at a time. */
+        private CandidateWorker busyWorker(String id, long busyMilliCores, long untilMs) {
+            addWorker(id, 16_000 - busyMilliCores, "r1", "a");
+            CandidateWorker worker = workers.get(workers.size() - 1);
+            ResourceVector amount = new ResourceVector(busyMilliCores, 0, 0);
+            worker.setRunningReleases(() -> List.of(new CapacityRelease(amount, untilMs)));
+            return worker;
+        }
+
+        private StepDemand gang(String job, int count, long milliCores) {
+            return demand(job, 1, false, step(count, milliCores).setGang(true).setEstimateMs(4_000));
+        }
+
+        private StepDemand tasks(String job, int priority, int count, long estimateMs) {
+            return demand(job, priority, false, step(count, 1_000).setEstimateMs(estimateMs));
+        }
+
+        @Test
+        void shouldStayOpenToWorkThatEndsBeforeTheGangStarts() {
+            busyWorker("w1", 12_000, 4_000);
+
+            Plan plan = planAt(1_000, gang("gang", 4, 4_000), tasks("long", 2, 2, 3_500), tasks("short", 2, 2, 2_500));
+
+            assertThat(plan.placements().stream()
+                            .map(placement -> placement.step().name()))
+                    .containsExactly("short.0.0", "short.0.0");
+            assertThat(made.get(0).startMs()).isEqualTo(4_000);
+        }
+
+        @Test
+        void shouldStayOpenToLongWorkBesideTheGang() {
+            busyWorker("w1", 12_000, 4_000);
+
+            Plan plan = planAt(1_000, gang("gang", 7, 2_000), tasks("long", 2, 4, 60_000));
+
+            assertThat(plan.placements()).hasSize(2);
+        }
+
+        @Test
+        void shouldStayOpenToWorkOfHigherPriority() {
+            busyWorker("w1", 12_000, 4_000);
+
+            Plan plan = planAt(1_000, gang("gang", 4, 4_000), tasks("urgent", 0, 4, 60_000));
+
+            assertThat(plan.placements()).hasSize(4);
+        }
+
+        /** Guards against two gangs that each wait for the workers of the other. */
+        @Test
+        void shouldNotBeSharedByTwoGangs() {
+            busyWorker("w1", 12_000, 4_000);
+            busyWorker("w2", 12_000, 5_000);
+
+            planAt(1_000, gang("first", 2, 16_000), gang("second", 2, 16_000));
+
+            assertThat(made).hasSize(1);
+            assertThat(made.get(0).membersByWorker()).containsExactly("w1", 1, "w2", 1);
+            assertThat(made.get(0).startMs()).isEqualTo(5_000);
+        }
+
+        /** Guards against workers that stay empty for a gang whose prediction was wrong. */
+        @Test
+        void shouldBeReleasedAfterTwiceThePredictedWaitAndForAsLong() {
+            busyWorker("w1", 12_000, 3_000);
+            StepDemand gang = gang("gang", 4, 4_000);
+            int placed = 0;
+            for (long atMs : new long[] {1_000, 4_900, 5_000, 8_900, 9_100}) {
+                workers.clear();
+                busyWorker("w1", 12_000, Math.max(3_000, atMs + 500));
+                placed = placed * 10
+                        + planAt(atMs, gang, tasks("small" + atMs, 2, 1, 60_000))
+                                .placements()
+                                .size();
+            }
+
+            assertThat(placed).isEqualTo(110);
+        }
+
+        @Test
+        void shouldBeChosenAnewWhenOneIsLost() {
+            busyWorker("w1", 12_000, 4_000);
+            busyWorker("w2", 12_000, 5_000);
+            StepDemand gang = gang("gang", 4, 4_000);
+            planAt(1_000, gang);
+            workers.remove(0);
+
+            planAt(1_200, gang);
+
+            assertThat(made.stream().map(GangReservation::membersByWorker))
+                    .containsExactly(Map.of("w1", 4), Map.of("w2", 4))
+                    .inOrder();
+        }
+
+        @Test
+        void shouldBeFewAndReliable() {
+            busyWorker("a", 8_000, 4_000);
+            busyWorker("b", 1_000, 4_000).markUnreliable();
+            busyWorker("c", 2_000, 4_000);
+            busyWorker("d", 10_000, 4_000);
+
+            Plan plan = planAt(1_000, gang("gang", 6, 2_000));
+
+            assertThat(Set.copyOf(workersOf(plan))).containsExactly("c");
+        }
+
+        /** Guards against a hold without an end behind runs that never end. */
+        @Test
+        void shouldNotBeHeldBehindLastingRuns() {
+            busyWorker("w1", 12_000, CapacityRelease.NEVER);
+
+            planAt(1_000, gang("gang", 4, 4_000));
+
+            assertThat(made).isEmpty();
+        }
+    }
+
     @Nested
     final class SuspectTasks {
         private void addRunTo(String id, String job) {
