--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -11,18 +11,20 @@
 import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
-import org.lovagegrade.wire.proto.StepProto;
 
 /**
  * Makes one plan: visits the steps in order and places their tasks on suitable workers. A step that fits but lacks a
  * valid ticket requests one, and its capacity is held back from the steps after it. The first gangs that don't fit
- * reserve workers against queues of lower priority, so that smaller tasks don't starve them.
+ * hold workers against work of the same or a lower priority that would delay them, so that smaller tasks don't starve
+ * them.
  *
  * <p>Example: {@code Plan plan = new Planner(workers, advice, quotas).plan(demands);}
  */
 public final class Planner {
-    /** The number of waiting gangs that may reserve workers in one plan. */
+    /** The number of waiting gangs that may hold workers in one plan. */
     private static final int MAX_GANGS_WITH_RESERVATION = 2;
+    /** The number of waiting gangs whose start may be predicted in one plan, which takes a pass over all runs. */
+    private static final int MAX_GANGS_CONSIDERED = 4;
 
     private static final int HIGHEST_PRIORITY = -1;
 
@@ -32,7 +34,11 @@
     private final List<Placement> placements = new ArrayList<>();
     private final TicketRequests ticketRequests;
     private final Isolation isolation;
+    private final GangReservations reservations;
+    private final RunTimes runTimes;
+    private final long nowMs;
     private int gangsWithReservation;
+    private int gangsConsidered;
 
     /**
      * Creates a planner for one plan.
@@ -40,11 +46,23 @@
      * @param workers the workers that may receive starts; their free resources change during planning
      * @param advice the adviser's verdicts
      * @param quotas the limits and the usage of workspaces; the usage changes during planning
+     * @param reservations the workers held for gangs, from one plan to the next
+     * @param runTimes predicts run times
+     * @param nowMs the present time, on the monotonic clock in milliseconds
      */
-    public Planner(List<CandidateWorker> workers, AdviceLookup advice, WorkspaceQuotas quotas) {
+    public Planner(
+            List<CandidateWorker> workers,
+            AdviceLookup advice,
+            WorkspaceQuotas quotas,
+            GangReservations reservations,
+            RunTimes runTimes,
+            long nowMs) {
         this.workers = workers;
         this.advice = advice;
         this.quotas = quotas;
+        this.reservations = reservations;
+        this.runTimes = runTimes;
+        this.nowMs = nowMs;
         this.isolation = new Isolation(workers);
         this.ticketRequests = new TicketRequests(advice);
     }
@@ -56,6 +74,7 @@
      * @return the starts, and the advice that is needed for others
      */
     public Plan plan(List<StepDemand> demands) {
+        workers.forEach(CandidateWorker::removeHold);
         for (StepDemand demand : demands) {
             if (demand.step().spec().getGang()) {
                 planGang(demand);
@@ -63,6 +82,7 @@
                 planTasks(demand);
             }
         }
+        reservations.removeExpired(nowMs);
         return new Plan(List.copyOf(placements), ticketRequests.requests());
     }
 
@@ -102,10 +122,8 @@
             if (!quotas.allows(workspace(demand), need)) {
                 return;
             }
-            Optional<CandidateWorker> selected = isolation.select(
-                    demand,
-                    candidates.allowed,
-                    worker -> hasRoom(demand, worker, need) && worker.isOpenTo(demand.priority()));
+            Optional<CandidateWorker> selected =
+                    isolation.select(demand, candidates.allowed, worker -> hasRoom(demand, worker));
             if (selected.isEmpty()) {
                 prepareIsolation(demand, candidates);
                 return;
@@ -135,30 +153,39 @@
     }
 
     /** Selects the best fit: not an avoided worker, then near the data, then with the fewest free cores. */
-    private static Optional<CandidateWorker> selectWorker(StepDemand demand, int index, List<CandidateWorker> from) {
-        ResourceVector need = demand.step().perTask();
+    private Optional<CandidateWorker> selectWorker(StepDemand demand, int index, List<CandidateWorker> from) {
         Set<String> avoided = demand.avoidedWorkers().apply(index);
         return from.stream()
-                .filter(worker -> canHost(demand, worker, need))
+                .filter(worker -> canHost(demand, worker))
                 .min(Comparator.<CandidateWorker>comparingInt(worker -> avoided.contains(worker.id()) ? 1 : 0)
                         .thenComparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
                         .thenComparingLong(worker -> worker.free().milliCores()));
     }
 
-    private static boolean canHost(StepDemand demand, CandidateWorker worker, ResourceVector need) {
-        return isOpen(demand, worker) && hasRoom(demand, worker, need);
+    private boolean canHost(StepDemand demand, CandidateWorker worker) {
+        return isOpen(demand, worker) && hasRoom(demand, worker);
     }
 
     private static boolean isOpen(StepDemand demand, CandidateWorker worker) {
-        boolean isOpenToJob = !worker.isIsolated() || (demand.hasSuspects() && worker.isIsolatedFor(demand.job()));
-        return isOpenToJob && worker.isOpenTo(demand.priority());
+        return !worker.isIsolated() || (demand.hasSuspects() && worker.isIsolatedFor(demand.job()));
+    }
+
+    private boolean hasRoom(StepDemand demand, CandidateWorker worker) {
+        return demand.step().perTask().fitsInto(worker.free()) && fitting(demand, worker, 1) > 0;
     }
 
-    private static boolean hasRoom(StepDemand demand, CandidateWorker worker, ResourceVector need) {
-        StepProto spec = demand.step().spec();
-        boolean isBelowStepLimit =
-                spec.getMostPerWorker() <= 0 || worker.tasksOf(demand.step().name()) < spec.getMostPerWorker();
-        return isBelowStepLimit && need.fitsInto(worker.free());
+    /** How many tasks of a step a worker can take now without delaying a gang, at most {@code max}. */
+    private int fitting(StepDemand demand, CandidateWorker worker, int max) {
+        ResourceVector need = demand.step().perTask();
+        int limit = Math.min(max, remainingStepTasks(demand, worker));
+        int fitting = limit <= 0 ? 0 : need.timesInto(worker.free(), limit);
+        return fitting > 0 && worker.isHeld()
+                ? worker.fittingBesideHold(need, demand.priority(), endMs(demand.step()), fitting)
+                : fitting;
+    }
+
+    private long endMs(StepRecord step) {
+        return CapacityRelease.endOf(nowMs, runTimes.expectedMs(step));
     }
 
     private static boolean isNearData(StepDemand demand, CandidateWorker worker) {
@@ -188,6 +215,7 @@
             if (isSuspect) {
                 selected.forEach(worker -> worker.isolate(demand.job()));
             }
+            reservations.release(step.name());
             int run = step.nextGangRun();
             for (int index = 0; index < members; index++) {
                 place(demand, index, run, selected.get(index));
@@ -202,7 +230,7 @@
 
     /**
      * Returns a worker for each task, several times if it can run several; fewer than {@code members} if not all fit.
-     * Prefers a single rack for a step that asks for it.
+     * Prefers few workers, since a gang is lost with any of them, and a single rack for a step that asks for it.
      */
     private List<CandidateWorker> selectWorkers(StepDemand demand, List<CandidateWorker> from, int members) {
         if (demand.step().spec().getRackLocal()) {
@@ -220,26 +248,32 @@
     }
 
     private List<CandidateWorker> selectAcrossRacks(StepDemand demand, List<CandidateWorker> from, int members) {
-        ResourceVector need = demand.step().perTask();
-        List<CandidateWorker> byFreeCores = from.stream()
-                .filter(worker -> canHost(demand, worker, need))
-                .sorted(Comparator.<CandidateWorker>comparingInt(worker -> isAvoidedByGang(demand, worker) ? 1 : 0)
-                        .thenComparingInt(worker -> isNearData(demand, worker) ? 0 : 1)
-                        .thenComparingLong(worker -> -worker.free().milliCores()))
+        Set<String> avoided = workersAvoidedByGang(demand);
+        List<Room> rooms = from.stream()
+                .filter(worker -> canHost(demand, worker))
+                .map(worker -> new Room(worker, fitting(demand, worker, members)))
+                .sorted(Comparator.<Room>comparingInt(
+                                room -> room.worker.isUnreliable() || avoided.contains(room.worker.id()) ? 1 : 0)
+                        .thenComparingInt(room -> isNearData(demand, room.worker) ? 0 : 1)
+                        .thenComparingInt(room -> -room.tasks)
+                        .thenComparingLong(room -> room.worker.free().milliCores()))
                 .toList();
         List<CandidateWorker> selected = new ArrayList<>();
-        for (CandidateWorker worker : byFreeCores) {
-            int fitting = fit(demand, worker, worker.free(), members);
-            for (int count = 0; count < fitting && selected.size() < members; count++) {
-                selected.add(worker);
+        for (Room room : rooms) {
+            for (int count = 0; count < room.tasks && selected.size() < members; count++) {
+                selected.add(room.worker);
             }
         }
         return selected;
     }
 
-    private static boolean isAvoidedByGang(StepDemand demand, CandidateWorker worker) {
+    /** A worker with the number of tasks that it can take. */
+    private record Room(CandidateWorker worker, int tasks) {}
+
+    private static Set<String> workersAvoidedByGang(StepDemand demand) {
         return demand.waiting().stream()
-                .anyMatch(index -> demand.avoidedWorkers().apply(index).contains(worker.id()));
+                .flatMap(index -> demand.avoidedWorkers().apply(index).stream())
+                .collect(Collectors.toSet());
     }
 
     private static int remainingStepTasks(StepDemand demand, CandidateWorker worker) {
@@ -249,25 +283,22 @@
                 : limit - worker.tasksOf(demand.step().name());
     }
 
-    /** Reserves workers for a gang that doesn't fit now: enough to run all members once these workers are empty. */
+    /** Holds workers for a gang that doesn't fit now: enough to run all members at the same time. */
     private void reserve(StepDemand demand, Candidates candidates, int members) {
         List<CandidateWorker> eligible = new ArrayList<>(candidates.allowed);
         eligible.addAll(candidates.stale);
-        if (eligible.isEmpty() || gangsWithReservation >= MAX_GANGS_WITH_RESERVATION) {
+        boolean mayReserve = gangsWithReservation < MAX_GANGS_WITH_RESERVATION
+                && gangsConsidered < MAX_GANGS_CONSIDERED
+                && !reservations.isPaused(demand.step().name(), nowMs);
+        if (eligible.isEmpty() || !mayReserve) {
             return;
         }
-        gangsWithReservation++;
-        eligible.sort(Comparator.comparingLong(worker -> -worker.free().milliCores()));
-        int reserved = 0;
-        for (CandidateWorker worker : eligible) {
-            if (reserved >= members) {
-                return;
-            }
-            ResourceVector capacity = ResourceVector.of(worker.info().getCapacity());
-            reserved +=
-                    Math.min(demand.step().perTask().timesInto(capacity, members), remainingStepTasks(demand, worker));
-            worker.reserveFor(demand.hasSuspects() ? HIGHEST_PRIORITY : demand.priority());
-        }
+        gangsConsidered++;
+        boolean hasSuspects = demand.hasSuspects();
+        int priority = hasSuspects ? HIGHEST_PRIORITY : demand.priority();
+        boolean isHeld =
+                reservations.hold(new GangRequest(demand.step(), members, priority, hasSuspects), eligible, nowMs);
+        gangsWithReservation += isHeld ? 1 : 0;
     }
 
     // --- advice
@@ -316,8 +347,8 @@
                         openTo(demand, candidates.stale),
                         openTo(demand, candidates.unknown)),
                 tasks,
-                worker -> isOpen(demand, worker) ? fit(demand, worker, worker.free(), tasks) : 0,
-                worker -> isOpen(demand, worker) ? fit(demand, worker, capacity(worker), tasks) : 0);
+                worker -> isOpen(demand, worker) ? fitting(demand, worker, tasks) : 0,
+                worker -> isOpen(demand, worker) ? fittingWhenEmpty(demand, worker, tasks) : 0);
         // Questions about useless work wait for long, and must not keep capacity from other work meanwhile.
         boolean isAnswerSoon = demand.urgency() != Urgency.OVERDUE
                 || advice.isPending(demand.step().name());
@@ -333,17 +364,14 @@
         return isSuspectGang ? isolation.openToGang(demand.job(), from) : from;
     }
 
-    private static int fit(StepDemand demand, CandidateWorker worker, ResourceVector resources, int tasks) {
-        return Math.min(demand.step().perTask().timesInto(resources, tasks), remainingStepTasks(demand, worker));
-    }
-
-    private static ResourceVector capacity(CandidateWorker worker) {
-        return ResourceVector.of(worker.info().getCapacity());
+    private static int fittingWhenEmpty(StepDemand demand, CandidateWorker worker, int max) {
+        ResourceVector capacity = ResourceVector.of(worker.info().getCapacity());
+        return Math.min(demand.step().perTask().timesInto(capacity, max), remainingStepTasks(demand, worker));
     }
 
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
         ResourceVector need = demand.step().perTask();
-        worker.addStart(demand.step());
+        worker.addStart(demand.step(), endMs(demand.step()));
         quotas.allocate(workspace(demand), need);
         placements.add(new Placement(demand.step(), index, run, worker.info()));
     }
