--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -2,8 +2,8 @@
 
 import java.util.OptionalLong;
 import org.lovagegrade.graph.machine.RunRecord;
-import org.lovagegrade.wire.proto.RunEndProto;
 import org.lovagegrade.graph.planning.CapacityRelease;
+import org.lovagegrade.wire.proto.RunEndProto;
 
 /** Tracks the orders for one run, from its start until its end is proposed. */
 final class RunTracker {
@@ -68,6 +68,7 @@
     private final long createdMs;
     /** The run was started in an earlier term, so that its start time is unknown. */
     private final boolean takenOver;
+
     private long checkpointSinceMs;
 
     private int percent = -1;
