--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
@@ -74,7 +74,7 @@
         }
 
         Question without(String worker) {
-            return new Question(wish.without(worker), number, caller, sentAtMs);
+            return new Question(wish.without(worker::equals), number, caller, sentAtMs);
         }
 
         long timesOutAtMs() {
@@ -349,6 +349,16 @@
                         .build()));
     }
 
+    /**
+     * Removes workers from the questions that were not sent yet, and the questions that are about no other worker.
+     *
+     * @param isExcluded whether a worker, given by its id, gets no starts
+     */
+    public void excludeFromQueuedQuestions(Predicate<String> isExcluded) {
+        queued.replaceAll(wish -> wish.without(isExcluded));
+        queued.removeIf(wish -> wish.workers().isEmpty());
+    }
+
     /**
      * Marks the ticket for a worker as stale, after the worker refused it, so that a new one is requested.
      *
--- a/graph/src/main/java/org/lovagegrade/graph/advice/QuestionWish.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/QuestionWish.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.graph.advice;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * A question that the latest plan wants to have asked.
@@ -12,9 +13,10 @@
  * @param costMs the expected duration of the adviser's call, in milliseconds
  */
 public record QuestionWish(String step, String queue, List<String> workers, QuestionRank rank, double costMs) {
-    /** Returns this question without a worker. */
-    QuestionWish without(String worker) {
-        List<String> others = workers.stream().filter(id -> !id.equals(worker)).toList();
+    /** Returns this question without some workers, given by their ids. */
+    QuestionWish without(Predicate<String> isExcluded) {
+        List<String> others =
+                workers.stream().filter(isExcluded.negate()).toList();
         return new QuestionWish(step, queue, others, rank, costMs);
     }
 }
