--- a/overload/src/main/java/org/lovagegrade/overload/AdmissionControl.java
+++ b/overload/src/main/java/org/lovagegrade/overload/AdmissionControl.java
@@ -29,10 +29,12 @@
      * @param backlog the work that waits
      * @param rate the rate at which work leaves
      * @param nowMs the present time, in milliseconds since 1970
-     * @return accepted, also if no worker is known yet, or refused
+     * @return accepted, also if no worker is known yet or the result would come too late without any wait, or refused
      */
     public static AdmissionDecision decide(WorkItem item, Backlog backlog, ServiceRate rate, long nowMs) {
-        if (rate.coreMsPerMs(nowMs) <= 0) {
+        boolean isUsefulAtOnce =
+                nowMs + item.work().pathMs() <= item.objective().usefulUntilMs();
+        if (rate.coreMsPerMs(nowMs) <= 0 || !isUsefulAtOnce) {
             return accepted(item, 0, nowMs);
         }
         Wait inTime = waitInTime(item, backlog, rate, nowMs);
--- a/overload/src/main/java/org/lovagegrade/overload/ServiceRate.java
+++ b/overload/src/main/java/org/lovagegrade/overload/ServiceRate.java
@@ -78,7 +78,7 @@
     public void left(long coreMs, boolean isBacklogged, long nowMs) {
         if (isBacklogged && wasBacklogged) {
             servedCoreMs.add(coreMs, nowMs);
-            offeredCoreMs.add(Math.round((nowMs - observedAtMs) * capacity), nowMs);
+            offeredCoreMs.add(Math.round(Math.max(0, nowMs - observedAtMs) * capacity), nowMs);
         }
         wasBacklogged = isBacklogged;
         observedAtMs = nowMs;
--- a/overload/src/main/java/org/lovagegrade/overload/WorkspaceRates.java
+++ b/overload/src/main/java/org/lovagegrade/overload/WorkspaceRates.java
@@ -32,12 +32,29 @@
         if (weight <= 0) {
             return false;
         }
+        Bucket bucket = filled(workspace, weight, nowMs);
+        boolean isWithinShare = bucket.tokens() >= 1;
+        buckets.put(workspace, isWithinShare ? new Bucket(bucket.tokens() - 1, bucket.filledAtMs()) : bucket);
+        return isWithinShare;
+    }
+
+    /**
+     * Whether the next item of a workspace would be within the share; counts nothing.
+     *
+     * @param workspace the name of the workspace
+     * @param weight the items a second that it is entitled to; 0 for none
+     * @param nowMs the present time, in milliseconds since 1970
+     * @return true if {@link #take} would return true
+     */
+    public boolean isWithinShare(String workspace, double weight, long nowMs) {
+        return weight > 0 && filled(workspace, weight, nowMs).tokens() >= 1;
+    }
+
+    private Bucket filled(String workspace, double weight, long nowMs) {
         double burst = Math.max(MIN_BURST, weight * BURST_S);
         Bucket bucket = buckets.getOrDefault(workspace, new Bucket(burst, nowMs));
         long elapsedMs = Math.max(0, nowMs - bucket.filledAtMs());
-        double tokens = Math.min(burst, bucket.tokens() + elapsedMs * weight / MS_PER_S);
-        boolean isWithinShare = tokens >= 1;
-        buckets.put(workspace, new Bucket(isWithinShare ? tokens - 1 : tokens, bucket.filledAtMs() + elapsedMs));
-        return isWithinShare;
+        return new Bucket(
+                Math.min(burst, bucket.tokens() + elapsedMs * weight / MS_PER_S), bucket.filledAtMs() + elapsedMs);
     }
 }
