--- a/cli/src/main/java/org/lovagegrade/cli/load/LoadOutput.java
+++ b/cli/src/main/java/org/lovagegrade/cli/load/LoadOutput.java
@@ -37,6 +37,9 @@
         rows.values().forEach(row -> columns.addAll(row.columns(section)));
         ArrayNode table = tables.putArray(section.title());
         rows.forEach((name, row) -> {
+            if (row.isEmpty(section)) {
+                return;
+            }
             ObjectNode line = table.addObject();
             line.put(grouping.text(), name.strip());
             columns.forEach(column -> line.put(column, section.inUnit(row.get(section, column))));
--- a/cli/src/main/java/org/lovagegrade/cli/load/LoadReport.java
+++ b/cli/src/main/java/org/lovagegrade/cli/load/LoadReport.java
@@ -186,7 +186,8 @@
         if (coreMs == 0 || !job.endedRuns.add(line.text("run"))) {
             return;
         }
-        JobEntry.Place place = new JobEntry.Place(span, domainByWorker.getOrDefault(line.text("worker"), UNKNOWN));
+        JobEntry.Place place =
+                new JobEntry.Place(span, orUnknown(domainByWorker.getOrDefault(line.text("worker"), "")));
         String waste = line.text("waste");
         if (waste.isEmpty() || waste.equals("NONE")) {
             addWork(job, place, coreMs);
