Count lasting tickets before asking again; reissue lost questions at once

Cause: a step whose tickets waited for room on full workers asked about more workers after each answer, until all were known. A question that got lost on its way to a process was reissued only after its timeout.

Change: the room that workers with lasting tickets will have is claimed and counted first. A process that polls without a result has no question, so that its question is free to be put again.

--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
@@ -62,6 +62,8 @@
         UNANSWERED,
         /** The calling process reported nothing in time. */
         TIMED_OUT,
+        /** The calling process polled again without a result, so it didn't receive the question. */
+        LOST,
         /** The question was not sent, since a later plan had no use for it. */
         DROPPED
     }
@@ -194,7 +196,7 @@
      * @param results the results of its earlier questions
      * @param reply receives the next question, or an empty list when the poll times out
      * @param nowMs the present time in milliseconds
-     * @return whether a result settled a question, with or without an answer
+     * @return whether a question was settled, with or without an answer
      */
     public boolean poll(
             String caller, List<AdviceResultProto> results, Consumer<List<AdviceQuestionProto>> reply, long nowMs) {
@@ -203,12 +205,26 @@
         for (AdviceResultProto result : results) {
             isSettled |= settle(result, nowMs);
         }
+        isSettled |= releaseQuestionOf(caller);
         polls.removeIf(poll -> poll.caller().equals(caller));
         polls.add(new Poll(caller, reply, nowMs));
         dispatch(nowMs);
         return isSettled;
     }
 
+    /** Releases a question that its process doesn't ask: a process polls only when it has no question. */
+    private boolean releaseQuestionOf(String caller) {
+        Optional<Question> lost = inFlight.values().stream()
+                .filter(question -> question.caller().equals(caller))
+                .findFirst();
+        lost.ifPresent(question -> {
+            inFlight.remove(question.number());
+            timedOut.put(question.number(), question);
+            metrics.count(QUESTIONS_METRIC, Outcome.LOST);
+        });
+        return lost.isPresent();
+    }
+
     private boolean settle(AdviceResultProto result, long nowMs) {
         Question inTime = inFlight.remove(result.getNumber());
         Question question = inTime == null ? timedOut.remove(result.getNumber()) : inTime;
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -147,7 +147,8 @@
         boolean isGang = isGang(demand);
         List<CandidateWorker> lasting = new ArrayList<>();
         List<CandidateWorker> known = needingRenewal(demand, suitable, lasting);
-        int covered = isGang ? lasting.stream().mapToInt(fit).sum() : 0;
+        int covered =
+                isGang ? lasting.stream().mapToInt(fit).sum() : claimSoon(demand, lasting, tasks, fit, fitWhenEmpty);
         List<TicketOption> options = new ArrayList<>();
         known.forEach(worker -> optionNow(demand, worker, fit, 1, true).ifPresent(options::add));
         suitable.unknown()
@@ -168,6 +169,20 @@
                 .filter(scope -> !isGang || scope.yield() >= MIN_GANG_LIKELIHOOD);
     }
 
+    /** Claims the room that workers with lasting tickets will have, and returns how many tasks they will take. */
+    private int claimSoon(
+            StepDemand demand,
+            List<CandidateWorker> lasting,
+            int tasks,
+            ToIntFunction<CandidateWorker> fit,
+            ToIntFunction<CandidateWorker> fitWhenEmpty) {
+        List<TicketOption> soon = new ArrayList<>();
+        lasting.forEach(
+                worker -> optionSoon(demand, worker, fit, fitWhenEmpty, 1).ifPresent(soon::add));
+        claim(demand, soon, tasks);
+        return (int) soon.stream().mapToDouble(TicketOption::expectedTasks).sum();
+    }
+
     private Optional<TicketOption> optionNow(
             StepDemand demand,
             CandidateWorker worker,
@@ -178,7 +193,7 @@
         return tasks > 0 ? Optional.of(new TicketOption(worker, tasks, probability, isKnown)) : Optional.empty();
     }
 
-    /** Returns a worker without room that will probably have room for one task while the ticket is valid. */
+    /** Returns a worker without room that will probably have room while the ticket is valid. */
     private Optional<TicketOption> optionSoon(
             StepDemand demand,
             CandidateWorker worker,
@@ -187,8 +202,8 @@
             double probability) {
         long perTask = demand.step().perTask().milliCores();
         long estimateMs = demand.step().spec().getEstimateMs();
-        boolean hasRoom = unclaimedFit(demand, worker, fit) > 0;
-        if (hasRoom || perTask <= 0 || estimateMs <= 0 || fitWhenEmpty.applyAsInt(worker) == 0) {
+        int most = fitWhenEmpty.applyAsInt(worker);
+        if (perTask <= 0 || estimateMs <= 0 || most <= 0 || unclaimedFit(demand, worker, fit) > 0) {
             return Optional.empty();
         }
         // What runs there is taken to last as long as this step's tasks, and to be anywhere in its run.
@@ -196,8 +211,11 @@
         long free = worker.free().milliCores();
         double ending = (worker.info().getCapacity().getMilliCores() - free) * endingShare;
         double claimed = claimedMilliCores.getOrDefault(worker.id(), 0.0);
-        double room = Math.min(1, (free + ending - claimed) / perTask);
-        return room > MIN_ROOM ? Optional.of(new TicketOption(worker, 1, probability * room, false)) : Optional.empty();
+        double room = (free + ending - claimed) / perTask;
+        int fitting = (int) Math.max(1, Math.min(most, room));
+        return room > MIN_ROOM
+                ? Optional.of(new TicketOption(worker, fitting, probability * Math.min(1, room), false))
+                : Optional.empty();
     }
 
     private boolean mayAskAhead(StepDemand demand) {
--- a/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
@@ -205,6 +205,18 @@
             assertThat(broker.isPending("j.0.0")).isTrue();
         }
 
+        /** Guards against waiting for the timeout of a question whose delivery failed. */
+        @Test
+        void shouldReissueQuestionIfProcessPollsWithoutResult() {
+            poll("entry-1", 0);
+            request(0, wish("j.0.0", 0, SLOW_MS, "w1"));
+
+            assertThat(broker.poll("entry-1", List.of(), received::addAll, 50)).isTrue();
+            request(51, wish("j.0.0", 0, SLOW_MS, "w1"));
+
+            assertThat(received).hasSize(2);
+        }
+
         /** Guards against a loop of refused questions: the adviser answers 429 while too many calls wait. */
         @Test
         void shouldRestProcessWhoseQuestionFailed() {
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -417,6 +417,18 @@
                     .inOrder();
         }
 
+        /** Guards against question after question until all workers are known, while tickets wait for room. */
+        @Test
+        void shouldNotAskWhileLastingTicketsWillSuffice() {
+            for (int index = 0; index < 10; index++) {
+                addWorker("w" + index, 0, "r1", "a");
+                advice.verdicts.put("j.0.0@w" + index, index < 4 ? Verdict.ALLOWED : Verdict.UNKNOWN);
+            }
+            StepProto.Builder step = step(4, 4_000).setEstimateMs(4_000);
+
+            assertThat(plan(demand("j", 0, true, step)).adviceRequests()).isEmpty();
+        }
+
         /** Guards against questions about more steps than the free capacity can take. */
         @Test
         void shouldNotCountOnCapacityThatEarlierQuestionWillUse() {
