Count only steps without options as hopeless

Cause: a step whose lasting tickets suffice counted among the steps after which no others of its queue are examined in a plan. A step with sound and suspect tasks could request two questions in one plan.

Change: only a step for which no answer would be of use counts. A step is requested once in a plan.

--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -54,6 +54,8 @@
     private record MissKey(String queue, String label, boolean isGang) {}
 
     private record Misses(int count, long leastMilliCores) {
+        static final Misses NONE = new Misses(0, Long.MAX_VALUE);
+
         Misses plus(StepDemand demand) {
             return new Misses(
                     count + 1, Math.min(leastMilliCores, demand.step().perTask().milliCores()));
@@ -99,10 +101,7 @@
             claimPending(demand, suitable, tasks, fitWhenEmpty, share);
             return true;
         }
-        Misses missed = missesOf(demand);
-        boolean isHopeless =
-                missed.count() >= MAX_MISSES && demand.step().perTask().milliCores() >= missed.leastMilliCores();
-        if (isHopeless || requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
+        if (isHopeless(demand) || requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
             return false;
         }
         Optional<QuestionScope> scope = scopeForStart(demand, suitable, tasks, fit, fitWhenEmpty, share);
@@ -110,22 +109,30 @@
             scope = scopeForVerdicts(demand, suitable, tasks, fitWhenEmpty, share)
                     .or(() -> scopeForRenewal(demand, suitable, tasks, fit, fitWhenEmpty));
         }
-        scope.ifPresentOrElse(
-                chosen -> add(demand, chosen, tasks), () -> misses.put(missKey(demand), missed.plus(demand)));
+        scope.ifPresent(chosen -> add(demand, chosen, tasks));
         return scope.isPresent();
     }
 
-    private Misses missesOf(StepDemand demand) {
-        return misses.getOrDefault(missKey(demand), new Misses(0, Long.MAX_VALUE));
+    private boolean isHopeless(StepDemand demand) {
+        Misses missed = misses.getOrDefault(missKey(demand), Misses.NONE);
+        return missed.count() >= MAX_MISSES && demand.step().perTask().milliCores() >= missed.leastMilliCores();
+    }
+
+    private void addMiss(StepDemand demand) {
+        MissKey key = missKey(demand);
+        misses.put(key, misses.getOrDefault(key, Misses.NONE).plus(demand));
     }
 
     private static MissKey missKey(StepDemand demand) {
         return new MissKey(demand.queue().getName(), demand.step().spec().getRequiredLabel(), isGang(demand));
     }
 
-    /** Requests tickets for one task on any of the given workers, unless a question about its step is pending. */
+    /** Requests tickets for one task on any of the given workers, unless a question about its step is pending or requested. */
     void requestAny(StepDemand demand, List<CandidateWorker> workers, boolean isKnown) {
-        if (advice.isPending(demand.step().name())) {
+        String step = demand.step().name();
+        boolean isRequested =
+                requests.stream().anyMatch(request -> request.step().equals(step));
+        if (isRequested || advice.isPending(step)) {
             return;
         }
         double probability = isKnown ? 1 : advice.allowedShare(demand.queue().getName());
@@ -149,14 +156,13 @@
         List<CandidateWorker> known = needingRenewal(demand, suitable, lasting);
         int covered =
                 isGang ? lasting.stream().mapToInt(fit).sum() : claimSoon(demand, lasting, tasks, fit, fitWhenEmpty);
+        if (covered >= tasks) {
+            return Optional.empty();
+        }
         List<TicketOption> options = new ArrayList<>();
         known.forEach(worker -> optionNow(demand, worker, fit, 1, true).ifPresent(options::add));
         suitable.unknown()
                 .forEach(worker -> optionNow(demand, worker, fit, share, false).ifPresent(options::add));
-        int most = covered + options.stream().mapToInt(TicketOption::tasks).sum();
-        if (covered >= tasks || (isGang && most < tasks)) {
-            return Optional.empty();
-        }
         if (!isGang) {
             known.forEach(
                     worker -> optionSoon(demand, worker, fit, fitWhenEmpty, 1).ifPresent(options::add));
@@ -165,8 +171,12 @@
                             optionSoon(demand, worker, fit, fitWhenEmpty, share).ifPresent(options::add));
         }
         options.sort(MOST_USEFUL_FIRST);
-        return QuestionScope.best(options, covered, tasks, isGang, cost(demand))
-                .filter(scope -> !isGang || scope.yield() >= MIN_GANG_LIKELIHOOD);
+        Optional<QuestionScope> scope = QuestionScope.best(options, covered, tasks, isGang, cost(demand))
+                .filter(best -> !isGang || best.yield() >= MIN_GANG_LIKELIHOOD);
+        if (scope.isEmpty()) {
+            addMiss(demand);
+        }
+        return scope;
     }
 
     /** Claims the room that workers with lasting tickets will have, and returns how many tasks they will take. */
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -429,6 +429,24 @@
             assertThat(plan(demand("j", 0, true, step)).adviceRequests()).isEmpty();
         }
 
+        /** Guards against steps that keep others from asking, since their own tickets suffice. */
+        @Test
+        void shouldAskForStepBehindManyThatHaveTickets() {
+            StepProto.Builder step = step(1, 4_000).setEstimateMs(4_000);
+            StepDemand[] demands = IntStream.range(0, 31)
+                    .mapToObj(job -> demand("j" + job, 0, true, step))
+                    .toArray(StepDemand[]::new);
+            for (int index = 0; index < 60; index++) {
+                addWorker("w" + index, 0, "r1", "a");
+                advice.verdicts.put("j" + index + ".0.0@w" + index, Verdict.ALLOWED);
+            }
+            advice.verdicts.remove("j30.0.0@w30");
+
+            Plan plan = plan(demands);
+
+            assertThat(plan.adviceRequests().stream().map(AdviceRequest::step)).containsExactly("j30.0.0");
+        }
+
         /** Guards against questions about more steps than the free capacity can take. */
         @Test
         void shouldNotCountOnCapacityThatEarlierQuestionWillUse() {
