--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -54,6 +54,8 @@
     private record MissKey(String queue, String label, boolean isGang) {}
 
     private record Misses(int count, long leastMilliCores) {
+        static final Misses NONE = new Misses(0, Long.MAX_VALUE);
+
         Misses plus(StepDemand demand) {
             return new Misses(
                     count + 1, Math.min(leastMilliCores, demand.step().perTask().milliCores()));
@@ -99,10 +101,7 @@
             claimPending(demand, suitable, tasks, fitWhenEmpty, share);
             return true;
         }
-        Misses missed = missesOf(demand);
-        boolean isHopeless =
-                missed.count() >= MAX_MISSES && demand.step().perTask().milliCores() >= missed.leastMilliCores();
-        if (isHopeless || requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
+        if (isHopeless(demand) || requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
             return false;
         }
         Optional<QuestionScope> scope = scopeForStart(demand, suitable, tasks, fit, fitWhenEmpty, share);
@@ -110,22 +109,30 @@
             scope = scopeForVerdicts(demand, suitable, tasks, fitWhenEmpty, share)
                     .or(() -> scopeForRenewal(demand, suitable, tasks, fit, fitWhenEmpty));
         }
-        scope.ifPresentOrElse(
-                chosen -> add(demand, chosen, tasks), () -> misses.put(missKey(demand), missed.plus(demand)));
+        scope.ifPresent(chosen -> add(demand, chosen, tasks));
         return scope.isPresent();
     }
 
-    private Misses missesOf(StepDemand demand) {
-        return misses.getOrDefault(missKey(demand), new Misses(0, Long.MAX_VALUE));
+    private boolean isHopeless(StepDemand demand) {
+        Misses missed = misses.getOrDefault(missKey(demand), Misses.NONE);
+        return missed.count() >= MAX_MISSES && demand.step().perTask().milliCores() >= missed.leastMilliCores();
+    }
+
+    private void addMiss(StepDemand demand) {
+        MissKey key = missKey(demand);
+        misses.put(key, misses.getOrDefault(key, Misses.NONE).plus(demand));
     }
 
     private static MissKey missKey(StepDemand demand) {
         return new MissKey(demand.queue().getName(), demand.step().spec().getRequiredLabel(), isGang(demand));
     }
 
-    /** Requests tickets for one task on any of the given workers, unless a question about its step is pending. */
+    /** Requests tickets for one task on any of the given workers, unless a question about its step is pending or requested. */
     void requestAny(StepDemand demand, List<CandidateWorker> workers, boolean isKnown) {
-        if (advice.isPending(demand.step().name())) {
+        String step = demand.step().name();
+        boolean isRequested =
+                requests.stream().anyMatch(request -> request.step().equals(step));
+        if (isRequested || advice.isPending(step)) {
             return;
         }
         double probability = isKnown ? 1 : advice.allowedShare(demand.queue().getName());
@@ -147,15 +154,15 @@
         boolean isGang = isGang(demand);
         List<CandidateWorker> lasting = new ArrayList<>();
         List<CandidateWorker> known = needingRenewal(demand, suitable, lasting);
-        int covered = isGang ? lasting.stream().mapToInt(fit).sum() : 0;
+        int covered =
+                isGang ? lasting.stream().mapToInt(fit).sum() : claimSoon(demand, lasting, tasks, fit, fitWhenEmpty);
+        if (covered >= tasks) {
+            return Optional.empty();
+        }
         List<TicketOption> options = new ArrayList<>();
         known.forEach(worker -> optionNow(demand, worker, fit, 1, true).ifPresent(options::add));
         suitable.unknown()
                 .forEach(worker -> optionNow(demand, worker, fit, share, false).ifPresent(options::add));
-        int most = covered + options.stream().mapToInt(TicketOption::tasks).sum();
-        if (covered >= tasks || (isGang && most < tasks)) {
-            return Optional.empty();
-        }
         if (!isGang) {
             known.forEach(
                     worker -> optionSoon(demand, worker, fit, fitWhenEmpty, 1).ifPresent(options::add));
@@ -164,8 +171,26 @@
                             optionSoon(demand, worker, fit, fitWhenEmpty, share).ifPresent(options::add));
         }
         options.sort(MOST_USEFUL_FIRST);
-        return QuestionScope.best(options, covered, tasks, isGang, cost(demand))
-                .filter(scope -> !isGang || scope.yield() >= MIN_GANG_LIKELIHOOD);
+        Optional<QuestionScope> scope = QuestionScope.best(options, covered, tasks, isGang, cost(demand))
+                .filter(best -> !isGang || best.yield() >= MIN_GANG_LIKELIHOOD);
+        if (scope.isEmpty()) {
+            addMiss(demand);
+        }
+        return scope;
+    }
+
+    /** Claims the room that workers with lasting tickets will have, and returns how many tasks they will take. */
+    private int claimSoon(
+            StepDemand demand,
+            List<CandidateWorker> lasting,
+            int tasks,
+            ToIntFunction<CandidateWorker> fit,
+            ToIntFunction<CandidateWorker> fitWhenEmpty) {
+        List<TicketOption> soon = new ArrayList<>();
+        lasting.forEach(
+                worker -> optionSoon(demand, worker, fit, fitWhenEmpty, 1).ifPresent(soon::add));
+        claim(demand, soon, tasks);
+        return (int) soon.stream().mapToDouble(TicketOption::expectedTasks).sum();
     }
 
     private Optional<TicketOption> optionNow(
@@ -178,7 +203,7 @@
         return tasks > 0 ? Optional.of(new TicketOption(worker, tasks, probability, isKnown)) : Optional.empty();
     }
 
-    /** Returns a worker without room that will probably have room for one task while the ticket is valid. */
+    /** Returns a worker without room that will probably have room while the ticket is valid. */
     private Optional<TicketOption> optionSoon(
             StepDemand demand,
             CandidateWorker worker,
@@ -187,8 +212,8 @@
             double probability) {
         long perTask = demand.step().perTask().milliCores();
         long estimateMs = demand.step().spec().getEstimateMs();
-        boolean hasRoom = unclaimedFit(demand, worker, fit) > 0;
-        if (hasRoom || perTask <= 0 || estimateMs <= 0 || fitWhenEmpty.applyAsInt(worker) == 0) {
+        int most = fitWhenEmpty.applyAsInt(worker);
+        if (perTask <= 0 || estimateMs <= 0 || most <= 0 || unclaimedFit(demand, worker, fit) > 0) {
             return Optional.empty();
         }
         // What runs there is taken to last as long as this step's tasks, and to be anywhere in its run.
@@ -196,8 +221,11 @@
         long free = worker.free().milliCores();
         double ending = (worker.info().getCapacity().getMilliCores() - free) * endingShare;
         double claimed = claimedMilliCores.getOrDefault(worker.id(), 0.0);
-        double room = Math.min(1, (free + ending - claimed) / perTask);
-        return room > MIN_ROOM ? Optional.of(new TicketOption(worker, 1, probability * room, false)) : Optional.empty();
+        double room = (free + ending - claimed) / perTask;
+        int fitting = (int) Math.max(1, Math.min(most, room));
+        return room > MIN_ROOM
+                ? Optional.of(new TicketOption(worker, fitting, probability * Math.min(1, room), false))
+                : Optional.empty();
     }
 
     private boolean mayAskAhead(StepDemand demand) {
