--- a/graph/src/main/java/org/lovagegrade/graph/leader/CallerRequestHandler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/CallerRequestHandler.java
@@ -8,6 +8,7 @@
 import org.lovagegrade.graph.machine.JobRecord;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.overload.AdmissionDecision;
 import org.lovagegrade.wire.proto.CallerActionProto;
 import org.lovagegrade.wire.proto.CallerOutcomeProto;
 import org.lovagegrade.wire.proto.CallerReplyProto;
@@ -26,6 +27,7 @@
     private final GraphStateMachine machine;
     private final CallerCommandProposer proposer;
     private final Metrics metrics;
+    private final Optional<SubmissionGate> gate;
 
     /** Proposes commands on behalf of callers. */
     @FunctionalInterface
@@ -42,7 +44,9 @@
     /** What a request refers to once its queue and key are checked; without a known key, the workspace is empty. */
     private record Target(QueueProto queue, String workspace, String jobId) {}
 
-    CallerRequestHandler(GraphStateMachine machine, CallerCommandProposer proposer, Metrics metrics) {
+    CallerRequestHandler(
+            GraphStateMachine machine, CallerCommandProposer proposer, Metrics metrics, Optional<SubmissionGate> gate) {
+        this.gate = gate;
         this.machine = machine;
         this.proposer = proposer;
         this.metrics = metrics.declare(CALLER_OUTCOMES, CallerOutcomeProto.class);
@@ -79,24 +83,32 @@
             return;
         }
         switch (action) {
-            case SUBMIT_GRAPH -> submit(request.getGraph(), target, reply);
+            case SUBMIT_GRAPH -> submit(request, target, reply);
             case SHOW_GRAPH -> show(request, target, reply);
             case CANCEL_GRAPH -> cancel(request, target, reply);
             default -> refuse(request, CallerOutcomeProto.CALLER_INVALID, "unknown action", reply);
         }
     }
 
-    private void submit(GraphProto submitted, Target target, Consumer<GraphReplyProto> reply) {
+    private void submit(CallerRequestProto request, Target target, Consumer<GraphReplyProto> reply) {
         if (machine.job(target.jobId()).isPresent()) {
             reply.accept(ok());
             return;
         }
-        GraphProto graph = submitted.toBuilder()
+        GraphProto graph = request.getGraph().toBuilder()
                 .setId(target.jobId())
                 .setQueue(target.queue().getName())
                 .setWorkspace(target.workspace())
                 .build();
-        proposer.propose(GraphCommandProto.newBuilder().setSubmit(graph), reply);
+        Optional<AdmissionDecision.Refused> refusal = gate.flatMap(present -> present.refusal(graph, target.queue()));
+        if (refusal.isPresent()) {
+            refuseForLoad(request, refusal.get(), reply);
+            return;
+        }
+        proposer.propose(GraphCommandProto.newBuilder().setSubmit(graph), answer -> {
+            gate.ifPresent(present -> present.answered(graph.getId()));
+            reply.accept(answer);
+        });
     }
 
     private void show(CallerRequestProto request, Target target, Consumer<GraphReplyProto> reply) {
@@ -135,21 +147,41 @@
 
     private void refuse(
             CallerRequestProto request, CallerOutcomeProto outcome, String reason, Consumer<GraphReplyProto> reply) {
-        metrics.count(CALLER_OUTCOMES, outcome);
+        refuse(
+                request,
+                CallerReplyProto.newBuilder()
+                        .setOutcome(outcome)
+                        .setReason(reason)
+                        .build(),
+                reply);
+    }
+
+    private void refuseForLoad(
+            CallerRequestProto request, AdmissionDecision.Refused refusal, Consumer<GraphReplyProto> reply) {
+        refuse(
+                request,
+                CallerReplyProto.newBuilder()
+                        .setOutcome(CallerOutcomeProto.CALLER_OVERLOADED)
+                        .setReason("the result would come too late to be useful: " + refusal.reason())
+                        .setRetryAfterMs(refusal.retryAfterMs())
+                        .build(),
+                reply);
+    }
+
+    private void refuse(CallerRequestProto request, CallerReplyProto answer, Consumer<GraphReplyProto> reply) {
+        metrics.count(CALLER_OUTCOMES, answer.getOutcome());
         Log.event("callerRefused")
                 .with("action", request.getAction().name())
                 .with("path", request.getPath())
-                .with("outcome", outcome.name())
-                .with("reason", reason)
+                .with("outcome", answer.getOutcome().name())
+                .with("reason", answer.getReason())
                 .with(
                         "documentVersion",
                         machine.configuration()
                                 .map(configuration -> configuration.proto().getVersion())
                                 .orElse(0L))
                 .info();
-        reply.accept(GraphReplyProto.newBuilder()
-                .setCaller(CallerReplyProto.newBuilder().setOutcome(outcome).setReason(reason))
-                .build());
+        reply.accept(GraphReplyProto.newBuilder().setCaller(answer).build());
     }
 
     private static GraphReplyProto ok() {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -33,6 +33,7 @@
     private final Clock wallClock;
     private final Metrics metrics;
     private final PlanOrder planOrder;
+    private boolean refusesForLoad;
     private Leadership leadership;
     private GraphLeader leader;
     private CallerRequestHandler callerHandler;
@@ -65,6 +66,16 @@
         this.planOrder = planOrder;
     }
 
+    /**
+     * Makes the leader refuse submissions whose results would come too late to be useful.
+     *
+     * @return this application
+     */
+    public GraphApplication withAdmissionControl() {
+        refusesForLoad = true;
+        return this;
+    }
+
     @Override
     public void restore(ByteString snapshot) {
         machine.restore(snapshot);
@@ -100,7 +111,10 @@
                 newLeadership.term(),
                 nowMs);
         leader = new GraphLeader(machine, driver, this::proposeWithoutReply, clock, wallClock, planOrder, metrics);
-        callerHandler = new CallerRequestHandler(machine, this::proposeWithReply, metrics);
+        Optional<SubmissionGate> gate = refusesForLoad
+                ? Optional.of(new SubmissionGate(leader.workAccount(), wallClock, metrics))
+                : Optional.empty();
+        callerHandler = new CallerRequestHandler(machine, this::proposeWithReply, metrics, gate);
         machine.setListener(leader);
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -100,6 +100,7 @@
         if (nowMs >= nextStallCheckMs) {
             nextStallCheckMs = nowMs + STALL_CHECK_INTERVAL_MS;
             stopStalled(nowMs);
+            workAccount.observe(usableMilliCores(nowMs), wallClock.nowMs());
         }
         adviceBroker.tick(nowMs);
         boolean isDue = (dirty && nowMs >= nextPlanMs) || nowMs >= planDeadlineMs;
@@ -108,6 +109,17 @@
         }
     }
 
+    WorkAccount workAccount() {
+        return workAccount;
+    }
+
+    private long usableMilliCores(long nowMs) {
+        return driver.sessions().stream()
+                .filter(session -> driver.isUsable(session, nowMs))
+                .mapToLong(session -> session.info().getCapacity().getMilliCores())
+                .sum();
+    }
+
     /** Stops runs that make no progress; they continue on other workers from their last checkpoint. */
     private void stopStalled(long nowMs) {
         for (RunRecord run : driver.stalledRuns()) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkAccount.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkAccount.java
@@ -1,18 +1,21 @@
 package org.lovagegrade.graph.leader;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.lovagegrade.graph.machine.GraphStateMachine;
 import org.lovagegrade.graph.machine.JobRecord;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.graph.planning.WorkEstimate;
+import org.lovagegrade.overload.Backlog;
 import org.lovagegrade.overload.CostOfDelay;
 import org.lovagegrade.overload.Objective;
 import org.lovagegrade.overload.RemainingWork;
-import org.lovagegrade.overload.RunTimeRatios;
+import org.lovagegrade.overload.ServiceRate;
 import org.lovagegrade.overload.WorkItem;
 import org.lovagegrade.overload.WorkspaceRates;
 import org.lovagegrade.wire.proto.GraphProto;
@@ -22,12 +25,20 @@
 
 /** What the leader knows of the work of jobs: their sizes, the shares of workspaces, and how long runs really take. */
 final class WorkAccount {
+    /** Work waits if it is more than the workers can do in this time. */
+    private static final long BACKLOGGED_MS = 1_000;
+
     private final GraphStateMachine machine;
     private final WorkspaceRates rates = new WorkspaceRates();
-    private final RunTimeRatios ratios = new RunTimeRatios();
+    private final ServiceRate serviceRate = new ServiceRate();
+    private final Backlog backlog = new Backlog();
     private final Map<String, MeanSize> meanSizeByQueue = new HashMap<>();
     private final Map<String, Profile> profilesByJob = new HashMap<>();
     private final Map<RunKey, Long> startedAtMs = new HashMap<>();
+    /** Jobs whose waiting work has changed since the backlog was last brought up to date. */
+    private final Set<JobRecord> changedJobs = new LinkedHashSet<>();
+
+    private long servedCoreMs;
 
     /** The whole work of an occurrence, and whether the job's workspace was within its share when it was accepted. */
     private record Profile(WorkEstimate whole, boolean withinShare) {}
@@ -60,22 +71,37 @@
                 (mean, _job) -> mean.plus(whole.waitingCoreMs()));
         boolean withinShare = rates.take(graph.getWorkspace(), weight(graph.getWorkspace()), job.acceptedAtMs());
         profilesByJob.put(job.id(), new Profile(whole, withinShare));
+        machine.queue(graph.getQueue())
+                .filter(_queue -> withinShare)
+                .ifPresent(
+                        queue -> serviceRate.arrived(queue.getPriority(), whole.waitingCoreMs(), job.acceptedAtMs()));
+        changedJobs.add(job);
     }
 
     void jobFinished(JobRecord job) {
         profilesByJob.remove(job.id());
+        changedJobs.remove(job);
+        for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+            backlog.remove(itemId(job, occurrence));
+        }
     }
 
     void runStarted(RunRecord run, long nowMs) {
         startedAtMs.put(run.key(), nowMs);
+        changedJobs.add(run.step().job());
     }
 
     /** Notes how long a run took; runs that were started by an earlier leader are not measured. */
     void runEnded(RunRecord run, RunEndProto how, long nowMs) {
+        changedJobs.add(run.step().job());
         Long startMs = startedAtMs.remove(run.key());
         if (startMs != null && how == RunEndProto.RUN_DONE) {
             StepRecord step = run.step();
-            ratios.completed(step.job().graph().getQueue(), step.spec().getEstimateMs(), nowMs - startMs);
+            long tookMs = nowMs - startMs;
+            serviceRate
+                    .ratios()
+                    .completed(step.job().graph().getQueue(), step.spec().getEstimateMs(), tookMs);
+            servedCoreMs += WorkEstimate.coreMs(step.perTask().milliCores(), tookMs);
         }
     }
 
@@ -84,12 +110,67 @@
         return CostOfDelay.of(item(job, occurrence, queue), wallMs);
     }
 
+    /** Measures the rate at which work leaves; to be called regularly. */
+    void observe(long usableMilliCores, long wallMs) {
+        refreshBacklog(wallMs);
+        serviceRate.setCapacity(usableMilliCores);
+        boolean isBacklogged = backlog.coreMs() > WorkEstimate.coreMs(usableMilliCores, BACKLOGGED_MS);
+        serviceRate.left(servedCoreMs, isBacklogged, wallMs);
+        servedCoreMs = 0;
+        machine.configuration()
+                .ifPresent(configuration -> configuration
+                        .proto()
+                        .getWorkspacesList()
+                        .forEach(workspace -> backlog.setLimit(
+                                workspace.getName(), workspace.getLimit().getMilliCores())));
+    }
+
+    Backlog backlog(long wallMs) {
+        refreshBacklog(wallMs);
+        return backlog;
+    }
+
+    ServiceRate serviceRate() {
+        return serviceRate;
+    }
+
+    /** The item that a submitted job would be, if its objective counts from the given time. */
+    WorkItem submittedItem(GraphProto graph, QueueProto queue, long dueAtMs, long wallMs) {
+        WorkEstimate whole = WorkEstimate.whole(graph);
+        return new WorkItem(
+                graph.getId(),
+                graph.getWorkspace(),
+                queue.getPriority(),
+                objective(whole, queue).from(dueAtMs),
+                remaining(whole, whole, queue),
+                rates.isWithinShare(graph.getWorkspace(), weight(graph.getWorkspace()), wallMs));
+    }
+
+    private void refreshBacklog(long wallMs) {
+        for (JobRecord job : changedJobs) {
+            machine.queue(job.graph().getQueue()).ifPresent(queue -> refresh(job, queue, wallMs));
+        }
+        changedJobs.clear();
+    }
+
+    private void refresh(JobRecord job, QueueProto queue, long wallMs) {
+        for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+            if (!job.isFinished() && job.dueAtMs(occurrence) <= wallMs) {
+                backlog.put(item(job, occurrence, queue));
+            }
+        }
+    }
+
+    private static String itemId(JobRecord job, int occurrence) {
+        return job.id() + "." + occurrence;
+    }
+
     private WorkItem item(JobRecord job, int occurrence, QueueProto queue) {
         Profile profile = profilesByJob.get(job.id());
         List<StepRecord> steps = job.occurrences().get(occurrence);
         Objective objective = objective(profile.whole(), queue).from(job.dueAtMs(occurrence));
         return new WorkItem(
-                job.id(),
+                itemId(job, occurrence),
                 job.graph().getWorkspace(),
                 queue.getPriority(),
                 objective,
@@ -99,13 +180,14 @@
 
     /** The objective by the estimates as submitted, as the caller counts it. */
     private static Objective objective(WorkEstimate whole, QueueProto queue) {
-        return whole.lasting()
+        boolean isWithoutObjective = queue.getSlackFactor() <= 0 && queue.getCompletionTargetMs() <= 0;
+        return whole.lasting() || isWithoutObjective
                 ? Objective.unlimited()
                 : Objective.within(Math.round(queue.getSlackFactor() * whole.pathMs()) + queue.getCompletionTargetMs());
     }
 
     private RemainingWork remaining(WorkEstimate left, WorkEstimate whole, QueueProto queue) {
-        double ratio = ratios.of(queue.getName());
+        double ratio = serviceRate.ratios().of(queue.getName());
         MeanSize mean = meanSizeByQueue.getOrDefault(queue.getName(), new MeanSize(0, 0));
         return new RemainingWork(
                 Math.round(left.pathMs() * ratio),
--- a/graph/src/main/java/org/lovagegrade/graph/planning/WorkEstimate.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/WorkEstimate.java
@@ -50,6 +50,17 @@
                 step -> steps.get(step).waitingTasks());
     }
 
+    /**
+     * The work that an amount of processor time does.
+     *
+     * @param milliCores thousandths of a core
+     * @param durationMs for how long, in milliseconds
+     * @return the work, in core-milliseconds
+     */
+    public static long coreMs(long milliCores, long durationMs) {
+        return milliCores * durationMs / MILLI_CORES_PER_CORE;
+    }
+
     private static WorkEstimate sum(
             int steps, IntFunction<StepProto> specs, IntPredicate isDone, IntUnaryOperator waitingTasks) {
         long[] finishMs = new long[steps];
@@ -64,7 +75,7 @@
             boolean isLeft = !isDone.test(step);
             finishMs[step] = startMs(spec, finishMs) + (isLeft ? spec.getEstimateMs() : 0);
             pathMs = Math.max(pathMs, finishMs[step]);
-            long taskCoreMs = spec.getPerTask().getMilliCores() * spec.getEstimateMs() / MILLI_CORES_PER_CORE;
+            long taskCoreMs = coreMs(spec.getPerTask().getMilliCores(), spec.getEstimateMs());
             int waitingOfStep = waitingTasks.applyAsInt(step);
             waiting += waitingOfStep;
             waitingCoreMs += waitingOfStep * taskCoreMs;
