--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -114,6 +114,7 @@
             nextStallCheckMs = nowMs + STALL_CHECK_INTERVAL_MS;
             stopStalled(nowMs);
             stopOnLeavingWorkers(nowMs);
+            workAccount.observe(usableMilliCores(nowMs), wallClock.nowMs());
         }
         dirty |= adviceBroker.tick(nowMs);
         boolean isDue = (dirty && nowMs >= nextPlanMs) || nowMs >= planDeadlineMs;
@@ -122,6 +123,17 @@
         }
     }
 
+    WorkAccount workAccount() {
+        return workAccount;
+    }
+
+    private long usableMilliCores(long nowMs) {
+        return driver.sessions().stream()
+                .filter(session -> driver.isUsable(session, nowMs))
+                .mapToLong(session -> session.info().getCapacity().getMilliCores())
+                .sum();
+    }
+
     /** Stops runs that make no progress; they continue on other workers from their last checkpoint. */
     private void stopStalled(long nowMs) {
         for (RunRecord run : driver.stalledRuns()) {
