Simulate late orders of all kinds, frozen leaders and restarts under the same id

The simulation lost or delayed only starts and stops, its workers stopped a run in 200 ms, and a worker that had started again either refused all orders to its former incarnation or, in one test of crashes, accepted them. A worker's runs are kept by run, so that two runs of one task on it count twice.

--- /dev/null
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/LateOrderTest.java
@@ -0,0 +1,32 @@
+package org.lovagegrade.graph.leader;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against orders that a worker, or the next one under its id, carries out seconds after they went unanswered. */
+final class LateOrderTest {
+    private static void assertNoneViolated(String invariant, long... seeds) {
+        for (long seed : seeds) {
+            SimulatedCell cell = LateOrderScenario.simulate(seed);
+
+            assertWithMessage("seed " + seed).that(cell.violationsOf(invariant)).isEmpty();
+        }
+    }
+
+    @Nested
+    final class Capacity {
+        /** Guards against starts beside a run of a former incarnation whose stop is confirmed but takes its time. */
+        @Test
+        void shouldBeKeptWhileALateRunIsBeingStopped() {
+            assertNoneViolated("capacity", 34);
+        }
+
+        /** Guards against a late start that was stopped on a worker, which has forgotten the stop at its next restart. */
+        @Test
+        void shouldBeKeptWhenAWorkerRestartsTwiceBeforeALateStartArrives() {
+            assertNoneViolated("capacity", 26, 30);
+        }
+    }
+}
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -54,23 +54,31 @@
 
     private static final int MAX_CRASHES = CRASH_LIMIT + 2;
     private static final long REBOOT_MS = 3_000;
+    private static final long STOP_MS = 200;
+    private static final long SLOW_STOP_MS = 900;
+    /** How long after an order without an answer a worker carries it out in {@link #carryOutUnansweredOrdersLate}. */
+    private static final long MIN_LATE_MS = 2_000;
 
     final SimulatedTime time = new SimulatedTime();
     final List<String> violations = new ArrayList<>();
     private final Random random;
-    private final double faultRate;
+    private double faultRate;
     private final DriverSafeguards safeguards;
     private final GraphStateMachine machine = GraphStateMachine.withRetention(1_000_000);
+    /** By address, which a worker keeps when it starts again. */
     private final Map<String, SimulatedWorker> workers = new HashMap<>();
+
     private final Set<String> partitioned = new HashSet<>();
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
-    private GraphLeader leader;
-    private WorkerDriver driver;
+    private SimulatedLeader leader;
     private long term;
     private int nextJob;
     private long lastCommitMs;
     private boolean acceptsExpiredStarts;
     private boolean comparesIdsOnly;
+    private boolean carriesOutUnansweredLate;
+    private boolean stopsSlowly;
+    private boolean changesIds;
     /** The tasks that crash each worker that starts them, and how often each has done so. */
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
@@ -97,7 +105,7 @@
                                 .setMaxAttempts(1_000)))
                 .build());
         for (int number = 0; number < workerCount; number++) {
-            boot("w" + number);
+            boot("w" + number + ":1", "w" + number);
         }
         elect();
         time.after(TICK_MS, this::tick);
@@ -117,6 +125,31 @@
         comparesIdsOnly = true;
     }
 
+    /** From now on all orders and renewals that go unanswered are carried out, 2 to 12 seconds later. */
+    void carryOutUnansweredOrdersLate() {
+        carriesOutUnansweredLate = true;
+    }
+
+    /** From now on a worker takes up to 900 ms to stop a run, which holds its resources until then. */
+    void stopSlowly() {
+        stopsSlowly = true;
+    }
+
+    /** From now on half of the workers that start again do so under another id, at the same address. */
+    void changeIdsAtRestarts() {
+        changesIds = true;
+    }
+
+    /** From now on so large a share of the orders goes unanswered. */
+    void setFaultRate(double share) {
+        faultRate = share;
+    }
+
+    /** Returns how long a worker takes for one stop. */
+    long drawStopMs() {
+        return stopsSlowly ? 1 + random.nextInt((int) SLOW_STOP_MS) : STOP_MS;
+    }
+
     /** From now on the task crashes each worker that starts it. */
     TaskKey makeCrashing(String job, int index) {
         TaskKey task = new TaskKey(job, 0, 0, index);
@@ -148,9 +181,24 @@
     void elect() {
         if (leader != null) {
             leader.close();
-            leader = null;
-            machine.setListener(GraphStateListener.NONE);
         }
+        succeed();
+    }
+
+    /** Freezes the leader; another one succeeds it meanwhile, and the frozen one then finds its queued messages. */
+    void freezeLeader(long lengthMs) {
+        if (leader == null) {
+            return;
+        }
+        SimulatedLeader frozen = leader;
+        frozen.freeze();
+        time.after(lengthMs, frozen::wakeAndClose);
+        succeed();
+    }
+
+    private void succeed() {
+        leader = null;
+        machine.setListener(GraphStateListener.NONE);
         term++;
         long ownTerm = term;
         time.after(1 + random.nextInt(1_000), () -> {
@@ -162,19 +210,22 @@
 
     private void lead(long ownTerm) {
         CommandProposer proposer = command -> commit(ownTerm, command);
-        driver = new WorkerDriver(
+        SimulatedLeader.MessageQueue queue = new SimulatedLeader.MessageQueue();
+        WorkerDriver driver = new WorkerDriver(
                 new WorkerDriver.Dependencies(
                         this,
-                        Runnable::run,
+                        queue,
                         proposer,
-                        new LeaderTimings(LEASE_MS, 200, HEARTBEAT_MS, CONTACT_MS),
+                        new LeaderTimings(LEASE_MS, stopsSlowly ? SLOW_STOP_MS : STOP_MS, HEARTBEAT_MS, CONTACT_MS),
                         time,
                         Metrics.create(),
                         safeguards),
                 ownTerm,
                 time.nowMs());
-        leader = new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency(), Metrics.create());
-        machine.setListener(leader);
+        GraphLeader duties =
+                new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency(), Metrics.create());
+        leader = new SimulatedLeader(duties, queue);
+        machine.setListener(duties);
     }
 
     /** Commits after a random delay, in the order of the proposals, as one leader's log does. */
@@ -189,7 +240,7 @@
 
     private void tick() {
         if (leader != null) {
-            leader.tick(time.nowMs());
+            leader.duties().tick(time.nowMs());
             for (SimulatedWorker worker : workers.values()) {
                 heartbeat(worker);
             }
@@ -199,47 +250,69 @@
 
     private void heartbeat(SimulatedWorker worker) {
         boolean isReachable =
-                worker.isUp() && !partitioned.contains(worker.info().getId());
+                worker.isUp() && !partitioned.contains(worker.info().getAddress());
         boolean isDue = random.nextInt(100) == 0 || time.nowMs() % HEARTBEAT_MS < TICK_MS;
         if (isReachable && isDue) {
             long ownTerm = term;
-            leader.handleWorkerReport(worker.info(), () -> {}, command -> commit(ownTerm, command));
+            leader.duties().handleWorkerReport(worker.info(), () -> {}, command -> commit(ownTerm, command));
         }
     }
 
-    private void boot(String id) {
-        SimulatedWorker worker = new SimulatedWorker(time, this, id, CAPACITY, time.nowMs(), random.nextBoolean());
-        workers.put(id, worker);
+    private void boot(String address, String id) {
+        WorkerProto info = WorkerProto.newBuilder()
+                .setId(id)
+                .setBornMs(time.nowMs())
+                .setAddress(address)
+                .setPool(POOL)
+                .setSequence(1)
+                .setCapacity(ResourcesProto.newBuilder()
+                        .setMilliCores(CAPACITY.milliCores())
+                        .setMemoryMb(CAPACITY.memoryMb()))
+                .build();
+        workers.put(address, new SimulatedWorker(time, this, info, random.nextBoolean()));
+    }
+
+    private void bootAgain(WorkerProto former) {
+        boolean changesId = changesIds && random.nextBoolean();
+        boot(former.getAddress(), changesId ? former.getId() + "b" : former.getId());
+    }
+
+    private SimulatedWorker worker(int number) {
+        return workers.get("w" + number % workers.size() + ":1");
+    }
+
+    private SimulatedWorker drawWorker() {
+        return worker(random.nextInt(workers.size()));
     }
 
     void crashOne() {
-        crash("w" + random.nextInt(workers.size()), 500 + random.nextInt(4_000));
+        crash(drawWorker(), 500 + random.nextInt(4_000));
     }
 
     /** Crashes some workers at the same moment, as the loss of a rack does. */
     void crashTogether(int count) {
         int first = random.nextInt(workers.size());
         for (int offset = 0; offset < count; offset++) {
-            crash("w" + (first + offset) % workers.size(), REBOOT_MS);
+            crash(worker(first + offset), REBOOT_MS);
         }
     }
 
-    private void crash(String id, long rebootMs) {
-        if (workers.get(id).isUp()) {
-            workers.get(id).crash();
-            time.after(rebootMs, () -> boot(id));
+    private void crash(SimulatedWorker worker, long durationMs) {
+        if (worker.isUp()) {
+            worker.crash();
+            time.after(durationMs, () -> bootAgain(worker.info()));
         }
     }
 
     void partitionOne(long lengthMs) {
-        String id = "w" + random.nextInt(workers.size());
-        partitioned.add(id);
-        time.after(lengthMs, () -> partitioned.remove(id));
+        String address = drawWorker().info().getAddress();
+        partitioned.add(address);
+        time.after(lengthMs, () -> partitioned.remove(address));
     }
 
     /** Shrinks a worker to a half of its capacity, or lets a shrunk one grow again. */
     void resizeOne() {
-        SimulatedWorker worker = workers.get("w" + random.nextInt(workers.size()));
+        SimulatedWorker worker = drawWorker();
         boolean isWhole = ResourceVector.of(worker.info().getCapacity()).equals(CAPACITY);
         worker.resize(isWhole ? HALF_CAPACITY : CAPACITY, CONTACT_MS + HEARTBEAT_MS);
     }
@@ -319,7 +392,7 @@
         int crashes = crashesByTask.merge(run.task(), 1, Integer::sum);
         check("start budget", crashes <= MAX_CRASHES, () -> run + " crashed " + crashes + " workers");
         crashesWithRunsOfOtherJobs += worker.runsOtherJobsThan(run.task().job()) ? 1 : 0;
-        crash(worker.info().getId(), rebootMs);
+        crash(worker, rebootMs);
     }
 
     ResourceVector resourcesOf(TaskKey task) {
@@ -334,12 +407,19 @@
         }
     }
 
+    /** The violations of one invariant. */
+    List<String> violationsOf(String invariant) {
+        return violations.stream()
+                .filter(violation -> violation.contains(" " + invariant + ": "))
+                .toList();
+    }
+
     void checkStart(SimulatedWorker worker, RunKey run) {
         TaskKey task = run.task();
         for (SimulatedWorker other : workers.values()) {
             check(
                     "one run at a time",
-                    other == worker || !other.isRunning(task),
+                    !other.isRunning(task),
                     () -> run + " on " + worker.info().getId() + " and "
                             + other.info().getId());
         }
@@ -379,14 +459,12 @@
     }
 
     private void deliver(WorkerProto to, Order order, Consumer<OrderOutcome> result) {
-        boolean isPartitioned = partitioned.contains(to.getId());
+        boolean isPartitioned = partitioned.contains(to.getAddress());
         if (random.nextDouble() < faultRate) {
             time.after(ANSWER_TIMEOUT_MS, () -> result.accept(new OrderOutcome.Unanswered()));
-            boolean arrivesLate = random.nextBoolean();
+            boolean arrivesLate = carriesOutUnansweredLate || random.nextBoolean();
             if (arrivesLate) {
-                time.after(
-                        1_000 + random.nextInt((int) MAX_ORDER_DELAY_MS - 1_000),
-                        () -> execute(to, order, true, _late -> {}));
+                time.after(drawLateMs(), () -> execute(to, order, true, _late -> {}));
             } else if (!isPartitioned) {
                 time.after(1, () -> execute(to, order, false, _lost -> {}));
             }
@@ -399,11 +477,22 @@
         time.after(1 + random.nextInt(4), () -> execute(to, order, false, result));
     }
 
+    private long drawLateMs() {
+        long minMs = carriesOutUnansweredLate ? MIN_LATE_MS : 1_000;
+        return minMs + random.nextInt((int) (MAX_ORDER_DELAY_MS - minMs));
+    }
+
+    /** Whether a worker takes itself to be the one that an order was sent to. */
+    private boolean isAddressee(SimulatedWorker worker, WorkerProto to) {
+        boolean isSameIncarnation = worker.info().getBornMs() == to.getBornMs();
+        return worker.info().getId().equals(to.getId()) && (comparesIdsOnly || isSameIncarnation);
+    }
+
     private void execute(WorkerProto to, Order order, boolean isLate, Consumer<OrderOutcome> result) {
-        SimulatedWorker worker = workers.get(to.getId());
+        SimulatedWorker worker = workers.get(to.getAddress());
         if (!worker.isUp()) {
             result.accept(new OrderOutcome.NotSent());
-        } else if (!comparesIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
+        } else if (!isAddressee(worker, to)) {
             result.accept(new OrderOutcome.Refused(OrderRefusal.OTHER_LIFE));
         } else {
             OrderOutcome outcome = order.executeOn(worker, isLate);
@@ -413,14 +502,18 @@
 
     @Override
     public void renew(WorkerProto to, RenewOrder order, Consumer<RenewOutcome> result) {
-        if (partitioned.contains(to.getId()) || random.nextDouble() < faultRate) {
+        boolean isFaulty = partitioned.contains(to.getAddress()) || random.nextDouble() < faultRate;
+        if (isFaulty) {
             time.after(ANSWER_TIMEOUT_MS, () -> result.accept(new RenewOutcome.Unanswered(false)));
+            if (carriesOutUnansweredLate) {
+                time.after(drawLateMs(), () -> renewLate(to, order));
+            }
             return;
         }
         time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
-            SimulatedWorker worker = workers.get(to.getId());
-            boolean isReachable = worker.isUp() && !partitioned.contains(to.getId());
-            if (isReachable && !comparesIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
+            SimulatedWorker worker = workers.get(to.getAddress());
+            boolean isReachable = worker.isUp() && !partitioned.contains(to.getAddress());
+            if (isReachable && !isAddressee(worker, to)) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
             } else if (isReachable) {
                 result.accept(worker.renew(order));
@@ -430,6 +523,13 @@
         });
     }
 
+    private void renewLate(WorkerProto to, RenewOrder order) {
+        SimulatedWorker worker = workers.get(to.getAddress());
+        if (worker.isUp() && isAddressee(worker, to)) {
+            worker.renew(order);
+        }
+    }
+
     @Override
     public void disconnect(WorkerProto _worker) {}
 }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -2,9 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.TaskKey;
@@ -24,7 +25,6 @@
  * ends that it lists until they are acknowledged.
  */
 final class SimulatedWorker {
-    private static final long STOP_MS = 200;
     private static final double MIN_CLOCK_RATE = 0.98;
 
     private final SimulatedTime time;
@@ -32,7 +32,7 @@
     private WorkerProto info;
     private final long startedAtMs;
     private final double clockRate;
-    private final Map<TaskKey, Integer> running = new LinkedHashMap<>();
+    private final Set<RunKey> running = new LinkedHashSet<>();
     private final Map<TaskKey, Integer> highestEnded = new HashMap<>();
     private final List<EndedRunView> ends = new ArrayList<>();
     private ResourceVector used = ResourceVector.NONE;
@@ -46,27 +46,12 @@
     /** Before this time a start may exceed a changed capacity, since the leader need not know it yet; 0 if unchanged. */
     private long capacityBindsFromMs;
 
-    SimulatedWorker(
-            SimulatedTime time,
-            SimulatedCell cell,
-            String id,
-            ResourceVector capacity,
-            long bornMs,
-            boolean slowClock) {
+    SimulatedWorker(SimulatedTime time, SimulatedCell cell, WorkerProto info, boolean slowClock) {
         this.time = time;
         this.cell = cell;
+        this.info = info;
         this.startedAtMs = time.nowMs();
         this.clockRate = slowClock ? MIN_CLOCK_RATE : 1.0;
-        this.info = WorkerProto.newBuilder()
-                .setId(id)
-                .setBornMs(bornMs)
-                .setAddress(id + ":1")
-                .setPool(SimulatedCell.POOL)
-                .setSequence(1)
-                .setCapacity(ResourcesProto.newBuilder()
-                        .setMilliCores(capacity.milliCores())
-                        .setMemoryMb(capacity.memoryMb()))
-                .build();
     }
 
     WorkerProto info() {
@@ -78,11 +63,11 @@
     }
 
     boolean isRunning(TaskKey task) {
-        return isUp && running.containsKey(task);
+        return running.stream().anyMatch(run -> run.task().equals(task));
     }
 
     boolean runsOtherJobsThan(String job) {
-        return running.keySet().stream().anyMatch(task -> !task.job().equals(job));
+        return running.stream().anyMatch(run -> !run.task().job().equals(job));
     }
 
     /** Changes the capacity, which the worker's next heartbeat shows; what runs goes on. */
@@ -119,7 +104,7 @@
         highestFencingToken = order.fencingToken();
         TaskKey task = order.run().task();
         int run = order.run().run();
-        if (running.getOrDefault(task, 0) == run) {
+        if (running.contains(order.run())) {
             return new OrderOutcome.Done(clockMs());
         }
         if (run <= highestEnded.getOrDefault(task, 0)) {
@@ -131,7 +116,7 @@
         }
         grant(order.untilMs());
         cell.checkStart(this, order.run());
-        running.put(task, run);
+        running.add(order.run());
         used = used.plus(cell.resourcesOf(task));
         boolean isWithinCapacity = used.fitsInto(ResourceVector.of(info.getCapacity()));
         boolean mayExceedCapacity = capacityBindsFromMs > 0 && (isLate || time.nowMs() < capacityBindsFromMs);
@@ -148,8 +133,8 @@
             return new OrderOutcome.Refused(OrderRefusal.FENCED);
         }
         highestFencingToken = fencingToken;
-        if (running.getOrDefault(run.task(), 0) == run.run()) {
-            time.after(STOP_MS, () -> end(run, RunEndProto.RUN_STOPPED));
+        if (running.contains(run)) {
+            time.after(cell.drawStopMs(), () -> end(run, RunEndProto.RUN_STOPPED));
         } else {
             highestEnded.merge(run.task(), run.run(), Math::max);
         }
@@ -166,7 +151,7 @@
         }
         acknowledgeEnds(order.cursor());
         List<RunView> views = new ArrayList<>();
-        running.forEach((task, run) -> views.add(new RunView(new RunKey(task, run), "", 1, 0)));
+        running.forEach(run -> views.add(new RunView(run, "", 1, 0)));
         return new RenewOutcome.Listed(clockMs(), info.getBornMs(), views, List.copyOf(ends));
     }
 
@@ -187,16 +172,14 @@
     private void expireLease() {
         if (isUp && clockMs() >= leaseUntilMs) {
             lastEndBeforeExpiry = endCount;
-            List.copyOf(running.entrySet())
-                    .forEach(entry -> end(new RunKey(entry.getKey(), entry.getValue()), RunEndProto.RUN_LAPSED));
+            List.copyOf(running).forEach(run -> end(run, RunEndProto.RUN_LAPSED));
         }
     }
 
     void end(RunKey run, RunEndProto how) {
-        if (!isUp || running.getOrDefault(run.task(), 0) != run.run()) {
+        if (!running.remove(run)) {
             return;
         }
-        running.remove(run.task());
         used = used.minus(cell.resourcesOf(run.task()));
         highestEnded.merge(run.task(), run.run(), Math::max);
         endCount++;
