Start nothing on a worker beside a run that the log does not have there

What callers saw: a start beyond a worker's capacity, and the tasks there slowed or refused with it. Cause: a late start had begun a run on the next incarnation of a worker with the same id. The new leader's session stopped it, took the confirmed stop as its end and activated the worker at once, while the run held its resources for up to 900 ms more and stood in no account.

A session keeps the runs that the worker's last listing shows and the log does not have. Until a later listing shows none, nothing is placed or started there. This holds because listings of a session are requested one after the other: a run that was listed and then is not has ended there.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
@@ -28,6 +28,7 @@
     void reconcile(WorkerSession session, RenewOutcome.Listed listed, long requestedAtMs, long nowMs) {
         Set<RunKey> listedRuns = new HashSet<>();
         outcomeProposer.proposeListedEnds(session, listed.ended(), listedRuns);
+        session.unknownRuns.clear();
         for (RunView view : listed.running()) {
             listedRuns.add(view.key());
             handleListedRun(session, view, requestedAtMs, nowMs);
@@ -42,6 +43,7 @@
     private void handleListedRun(WorkerSession session, RunView view, long requestedAtMs, long nowMs) {
         RunTracker tracker = session.runs.get(view.key());
         if (tracker == null) {
+            session.unknownRuns.add(view.key());
             stopUnknownRun(session, view);
             return;
         }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -54,7 +54,7 @@
                     stop(session, tracker);
                 } else if (session.isOverCapacity()) {
                     withdrawStart(session, tracker);
-                } else if (isIncarnationConfirmed(session, tracker)) {
+                } else if (session.isFullyAccounted() && isIncarnationConfirmed(session, tracker)) {
                     start(session, tracker, nowMs);
                 }
             }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -30,6 +30,8 @@
     final Map<RunKey, RunTracker> runs = new HashMap<>();
     /** Runs given up while their start may still arrive; they are stopped before the worker is used again. */
     final Set<RunKey> abandonedRuns = new HashSet<>();
+    /** Runs that the worker last listed although the log does not have them there; they hold resources until they end. */
+    final Set<RunKey> unknownRuns = new HashSet<>();
     /** For each run with an unanswered start, the time until which that start may still arrive. */
     final Map<RunKey, Long> lateStartPossibleUntilMs = new HashMap<>();
 
@@ -166,6 +168,11 @@
         return !record.used().fitsInto(ResourceVector.of(info().getCapacity()));
     }
 
+    /** Whether the log accounts for all runs that the worker last listed, so that its free capacity is known. */
+    boolean isFullyAccounted() {
+        return unknownRuns.isEmpty();
+    }
+
     /** Whether the worker has announced its end. */
     boolean isLeaving() {
         return leaving || info().getDraining();
@@ -178,6 +185,7 @@
                 && !isLeaving()
                 && !removalProposed
                 && !lastOrderUnanswered
+                && isFullyAccounted()
                 && !isStartOverdue(nowMs)
                 && startsPausedUntilMs <= nowMs
                 && nowMs - lastAnswerMs < UNRESPONSIVE_MS;
