Stop late starts on each incarnation of a worker until they can't arrive any more

What callers saw: a start beyond a worker's capacity. Cause: a run whose start had gone unanswered was stopped once, on the incarnation that followed, and then forgotten by the leader. That incarnation crashed too, the next one knew nothing of the stop, and the start arrived there 2 to 12 s after it had been sent. A start that went unanswered after its run had ended was never recorded.

LateStarts keeps, by worker id, each unanswered start for 15 s, longer than an order can be under way, whatever happens to its run, its worker and the stops sent. Every incarnation that the leader meets within that time first stops them, then gets leases and starts. A start of an earlier leader is refused by its fence once an incarnation has answered.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -15,8 +15,6 @@
     private static final long STOP_RETRY_MS = 1_000;
     /** How long a worker that reports itself unhealthy, or refuses a start that should fit, gets no starts. */
     private static final long START_PAUSE_MS = 1_000;
-    /** An unanswered order may still arrive up to this much later. */
-    private static final long MAX_ORDER_DELAY_MS = 15_000;
 
     private final WorkerDriver.Dependencies dependencies;
     private final DriverTerm term;
@@ -86,12 +84,17 @@
                 term.number(),
                 tracker.run.checkpoint(),
                 tracker.ticket);
-        dependencies
-                .link()
-                .start(
-                        session.info(),
-                        message,
-                        outcome -> onReplicaThread(session, tracker, () -> startAnswered(session, tracker, outcome)));
+        dependencies.link().start(session.info(), message, outcome -> {
+            dependencies.replicaThread().execute(() -> recordIfLate(session, tracker, outcome));
+            onReplicaThread(session, tracker, () -> startAnswered(session, tracker, outcome));
+        });
+    }
+
+    /** Also records the late start of a run that has ended meanwhile, as the next incarnation may begin it again. */
+    private void recordIfLate(WorkerSession session, RunTracker tracker, OrderOutcome outcome) {
+        if (outcome instanceof OrderOutcome.Unanswered) {
+            session.lateStarts.record(tracker.run.key(), dependencies.clock().nowMs());
+        }
     }
 
     /** Returns the lease expiry; an unresponsive worker's lease is not extended, so that its runs can be given up. */
@@ -116,7 +119,6 @@
         } else {
             if (outcome instanceof OrderOutcome.Unanswered) {
                 tracker.inDoubt = true;
-                session.lateStartPossibleUntilMs.put(tracker.run.key(), nowMs + MAX_ORDER_DELAY_MS);
             }
             session.recordUnanswered(nowMs);
             tracker.orderSent = tracker.inDoubt;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executor;
 import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.RunRecord;
@@ -49,8 +47,8 @@
     private static final long REMOVAL_TIMEOUT_MS = 15_000;
 
     private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
-    /** By worker id, runs whose start may still arrive after the worker's removal; its next incarnation stops them. */
-    private final Map<String, Set<RunKey>> inheritedInDoubtRuns = new HashMap<>();
+    /** By worker id; each incarnation first stops the runs whose start may still arrive. */
+    private final Map<String, LateStarts> lateStarts = new HashMap<>();
 
     private final WorkerLink link;
     private final Executor replicaThread;
@@ -163,10 +161,10 @@
         if (current != null && current.record == record) {
             return;
         }
-        WorkerSession session = new WorkerSession(record, nowMs);
-        Set<RunKey> inDoubtRuns = inheritedInDoubtRuns.remove(record.info().getId());
-        if (inDoubtRuns != null) {
-            session.abandonedRuns.addAll(inDoubtRuns);
+        LateStarts late = lateStarts.computeIfAbsent(record.info().getId(), _id -> new LateStarts());
+        WorkerSession session = new WorkerSession(record, late, nowMs);
+        if (safeguards.stopInDoubtRuns()) {
+            session.abandonedRuns.addAll(late.runs(nowMs));
         }
         for (RunRecord run : record.runs().values()) {
             RunTracker tracker = new RunTracker(run, "", RunTracker.Phase.VERIFYING, nowMs);
@@ -181,23 +179,20 @@
         if (session == null || session.record != record) {
             return;
         }
-        Set<RunKey> inDoubtRuns = new HashSet<>(session.abandonedRuns);
+        long nowMs = clock.nowMs();
+        session.abandonedRuns.forEach(run -> session.lateStarts.record(run, nowMs));
         session.runs.values().stream()
                 .filter(tracker -> tracker.inDoubt || tracker.inFlight)
-                .forEach(tracker -> inDoubtRuns.add(tracker.run.key()));
-        long nowMs = clock.nowMs();
-        session.lateStartPossibleUntilMs.forEach((run, untilMs) -> {
-            if (untilMs > nowMs) {
-                inDoubtRuns.add(run);
-            }
-        });
-        if (!inDoubtRuns.isEmpty() && safeguards.stopInDoubtRuns()) {
-            inheritedInDoubtRuns.put(session.id(), inDoubtRuns);
-        }
+                .forEach(tracker -> session.lateStarts.record(tracker.run.key(), nowMs));
         sessions.remove(session.id());
+        lateStarts.entrySet().removeIf(entry -> isForgettable(entry.getKey(), entry.getValue(), nowMs));
         link.disconnect(session.info());
     }
 
+    private boolean isForgettable(String worker, LateStarts late, long nowMs) {
+        return !sessions.containsKey(worker) && late.runs(nowMs).isEmpty();
+    }
+
     void runStarted(RunRecord run, String ticket, long nowMs) {
         WorkerSession session = sessions.get(run.worker());
         if (session == null) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -32,8 +32,8 @@
     final Set<RunKey> abandonedRuns = new HashSet<>();
     /** Runs that the worker last listed although the log does not have them there; they hold resources until they end. */
     final Set<RunKey> unknownRuns = new HashSet<>();
-    /** For each run with an unanswered start, the time until which that start may still arrive. */
-    final Map<RunKey, Long> lateStartPossibleUntilMs = new HashMap<>();
+    /** The starts that may still arrive at this worker or at its next incarnations. */
+    final LateStarts lateStarts;
 
     /** Runs that were given up when the lease expired; a crash that is noticed later counts against them as well. */
     final Map<RunKey, RunTracker> runsLostWithLease = new HashMap<>();
@@ -72,8 +72,9 @@
 
     long startsPausedUntilMs;
 
-    WorkerSession(WorkerRecord record, long nowMs) {
+    WorkerSession(WorkerRecord record, LateStarts lateStarts, long nowMs) {
         this.record = record;
+        this.lateStarts = lateStarts;
         this.lastAnswerMs = nowMs;
         this.lastHeartbeatMs = nowMs;
         this.proposedCursor = record.cursor();
