--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -30,8 +30,10 @@
     final Map<RunKey, RunTracker> runs = new HashMap<>();
     /** Runs given up while their start may still arrive; they are stopped before the worker is used again. */
     final Set<RunKey> abandonedRuns = new HashSet<>();
-    /** For each run with an unanswered start, the time until which that start may still arrive. */
-    final Map<RunKey, Long> lateStartPossibleUntilMs = new HashMap<>();
+    /** Runs that the worker last listed although the log does not have them there; they hold resources until they end. */
+    final Set<RunKey> unknownRuns = new HashSet<>();
+    /** The starts that may still arrive at this worker or at its next incarnations. */
+    final LateStarts lateStarts;
 
     /** Runs that were given up when the lease expired; a crash that is noticed later counts against them as well. */
     final Map<RunKey, RunTracker> runsLostWithLease = new HashMap<>();
@@ -70,8 +72,9 @@
 
     long startsPausedUntilMs;
 
-    WorkerSession(WorkerRecord record, long nowMs) {
+    WorkerSession(WorkerRecord record, LateStarts lateStarts, long nowMs) {
         this.record = record;
+        this.lateStarts = lateStarts;
         this.lastAnswerMs = nowMs;
         this.lastHeartbeatMs = nowMs;
         this.proposedCursor = record.cursor();
@@ -166,6 +169,11 @@
         return !record.used().fitsInto(ResourceVector.of(info().getCapacity()));
     }
 
+    /** Whether the log accounts for all runs that the worker last listed, so that its free capacity is known. */
+    boolean isFullyAccounted() {
+        return unknownRuns.isEmpty();
+    }
+
     /** Whether the worker has announced its end. */
     boolean isLeaving() {
         return leaving || info().getDraining();
@@ -178,6 +186,7 @@
                 && !isLeaving()
                 && !removalProposed
                 && !lastOrderUnanswered
+                && isFullyAccounted()
                 && !isStartOverdue(nowMs)
                 && startsPausedUntilMs <= nowMs
                 && nowMs - lastAnswerMs < UNRESPONSIVE_MS;
