--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -61,22 +61,25 @@
 
     private static final int MAX_CRASHES = CRASH_LIMIT + 2;
     private static final long REBOOT_MS = 3_000;
+    private static final long STOP_MS = 200;
+    private static final long SLOW_STOP_MS = 900;
+    /** How long after an order without an answer a worker carries it out in {@link #carryOutUnansweredOrdersLate}. */
+    private static final long MIN_LATE_MS = 2_000;
 
     final SimulatedTime time = new SimulatedTime();
     final List<String> violations = new ArrayList<>();
     private final Random random;
-    private final double faultRate;
+    private double faultRate;
     private final DriverSafeguards safeguards;
     private final GraphStateMachine machine = GraphStateMachine.withRetention(1_000_000);
+    /** By address, which a worker keeps when it starts again. */
     private final Map<String, SimulatedWorker> workers = new HashMap<>();
+
     private final Set<String> partitioned = new HashSet<>();
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
     private final SimulatedOperator operator;
     private int failureDomains;
-    private GraphLeader leader;
-    private SimulatedLeaderLink link;
-    private EvacuationRequestHandler evacuationHandler;
-    private WorkerDriver driver;
+    private SimulatedLeader leader;
     private long term;
     /** The term of a paused leader whose proposals its successor commits before it leads; 0 if there is none. */
     private long inheritedTerm;
@@ -85,6 +88,9 @@
     private long lastCommitMs;
     private boolean acceptsExpiredStarts;
     private boolean comparesIdsOnly;
+    private boolean carriesOutUnansweredLate;
+    private boolean stopsSlowly;
+    private boolean changesIds;
     /** The tasks that crash each worker that starts them, and how often each has done so. */
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
@@ -114,7 +120,7 @@
                                 .setMaxAttempts(1_000)))
                 .build());
         for (int number = 0; number < workerCount; number++) {
-            boot("w" + number);
+            boot("w" + number + ":1", "w" + number);
         }
         elect();
         time.after(TICK_MS, this::tick);
@@ -134,6 +140,31 @@
         comparesIdsOnly = true;
     }
 
+    /** From now on all orders and renewals that go unanswered are carried out, 2 to 12 seconds later. */
+    void carryOutUnansweredOrdersLate() {
+        carriesOutUnansweredLate = true;
+    }
+
+    /** From now on a worker takes up to 900 ms to stop a run, which holds its resources until then. */
+    void stopSlowly() {
+        stopsSlowly = true;
+    }
+
+    /** From now on half of the workers that start again do so under another id, at the same address. */
+    void changeIdsAtRestarts() {
+        changesIds = true;
+    }
+
+    /** From now on so large a share of the orders goes unanswered. */
+    void setFaultRate(double share) {
+        faultRate = share;
+    }
+
+    /** Returns how long a worker takes for one stop. */
+    long drawStopMs() {
+        return stopsSlowly ? 1 + random.nextInt((int) SLOW_STOP_MS) : STOP_MS;
+    }
+
     /** From now on the task crashes each worker that starts it. */
     TaskKey makeCrashing(String job, int index) {
         TaskKey task = new TaskKey(job, 0, 0, index);
@@ -196,7 +227,7 @@
     /** Distributes the workers over failure domains. */
     void spreadOverDomains(int count) {
         failureDomains = count;
-        workers.values().forEach(worker -> worker.moveTo(domainOf(worker.info().getId())));
+        workers.values().forEach(worker -> worker.moveTo(domainOf(worker.info().getAddress())));
     }
 
     /** The failure domains that are evacuated according to the log. */
@@ -207,8 +238,10 @@
                 .collect(Collectors.toSet());
     }
 
-    private String domainOf(String worker) {
-        return failureDomains == 0 ? "" : domain(Integer.parseInt(worker.substring(1)) % failureDomains);
+    /** Returns the failure domain of the workers at an address, or an empty string if there are no failure domains. */
+    private String domainOf(String address) {
+        int number = Integer.parseInt(address.substring(1, address.indexOf(':')));
+        return failureDomains == 0 ? "" : domain(number % failureDomains);
     }
 
     static String domain(int number) {
@@ -221,7 +254,7 @@
 
     /** The leader's handler of orders about failure domains, or empty while there is no leader. */
     Optional<EvacuationRequestHandler> evacuationHandler() {
-        return leader == null ? Optional.empty() : Optional.of(evacuationHandler);
+        return leader == null ? Optional.empty() : Optional.of(leader.evacuationHandler());
     }
 
     // --- events
@@ -239,17 +272,27 @@
         machine.restore(machine.snapshot());
     }
 
+    /** Freezes the leader; another one succeeds it meanwhile, and the frozen one then finds its queued messages. */
+    void freezeLeader(long lengthMs) {
+        if (leader == null) {
+            return;
+        }
+        SimulatedLeader frozen = leader;
+        frozen.freeze();
+        time.after(lengthMs, frozen::wakeAndClose);
+        replaceLeader();
+    }
+
     /**
-     * Pauses the leader. Its successor can't reach the workers that are cut off and commits what the paused leader has
-     * proposed; the paused one applies these entries, with the answers that arrived, before it learns that it is deposed.
+     * Freezes the leader, whose successor commits what the frozen one has proposed; the frozen one applies these entries
+     * before it finds its queued messages and learns that it is deposed.
      */
     void pauseLeader(long lengthMs) {
         if (leader == null) {
             return;
         }
-        GraphLeader paused = leader;
-        SimulatedLeaderLink pausedLink = link;
-        link.pause();
+        SimulatedLeader paused = leader;
+        paused.freeze();
         List<RunRecord> startedMeanwhile = new ArrayList<>();
         long pausedTerm = term;
         replaceLeader();
@@ -261,9 +304,8 @@
             }
         });
         time.after(lengthMs, () -> {
-            startedMeanwhile.forEach(paused::runStarted);
-            pausedLink.resume();
-            paused.close();
+            startedMeanwhile.forEach(paused.duties()::runStarted);
+            paused.wakeAndClose();
         });
     }
 
@@ -282,25 +324,27 @@
 
     private void lead(long ownTerm) {
         CommandProposer proposer = command -> commit(ownTerm, command, _reply -> {});
-        SimulatedLeaderLink ownLink = new SimulatedLeaderLink(this);
-        link = ownLink;
-        evacuationHandler = new EvacuationRequestHandler(
+        SimulatedLeaderLink link = new SimulatedLeaderLink(this);
+        SimulatedLeader.MessageQueue queue = new SimulatedLeader.MessageQueue();
+        EvacuationRequestHandler evacuationHandler = new EvacuationRequestHandler(
                 machine, Set.of(), (command, reply) -> commit(ownTerm, command, reply), Metrics.create());
-        driver = new WorkerDriver(
+        WorkerDriver driver = new WorkerDriver(
                 new WorkerDriver.Dependencies(
-                        ownLink,
-                        Runnable::run,
+                        link,
+                        queue,
                         proposer,
-                        new LeaderTimings(LEASE_MS, 200, HEARTBEAT_MS, CONTACT_MS),
+                        new LeaderTimings(LEASE_MS, stopsSlowly ? SLOW_STOP_MS : STOP_MS, HEARTBEAT_MS, CONTACT_MS),
                         time,
                         Metrics.create(),
-                        ownLink::isEvacuated,
+                        link::isEvacuated,
                         () -> term == ownTerm,
                         safeguards),
                 ownTerm,
                 time.nowMs());
-        leader = new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency(), Metrics.create());
-        machine.setListener(leader);
+        GraphLeader duties =
+                new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency(), Metrics.create());
+        leader = new SimulatedLeader(duties, queue, link, evacuationHandler);
+        machine.setListener(duties);
     }
 
     /** Commits after a random delay, in the order of the proposals, as one leader's log does. */
@@ -320,7 +364,7 @@
 
     private void tick() {
         if (leader != null) {
-            leader.tick(time.nowMs());
+            leader.duties().tick(time.nowMs());
             for (SimulatedWorker worker : workers.values()) {
                 heartbeat(worker);
             }
@@ -330,48 +374,71 @@
 
     private void heartbeat(SimulatedWorker worker) {
         boolean isReachable =
-                worker.isUp() && !partitioned.contains(worker.info().getId());
+                worker.isUp() && !partitioned.contains(worker.info().getAddress());
         boolean isDue = random.nextInt(100) == 0 || time.nowMs() % HEARTBEAT_MS < TICK_MS;
         if (isReachable && isDue) {
             long ownTerm = term;
-            leader.handleWorkerReport(worker.info(), () -> {}, command -> commit(ownTerm, command, _reply -> {}));
+            leader.duties()
+                    .handleWorkerReport(worker.info(), () -> {}, command -> commit(ownTerm, command, _reply -> {}));
         }
     }
 
-    private void boot(String id) {
-        SimulatedWorker worker = new SimulatedWorker(time, this, id, CAPACITY, time.nowMs(), random.nextBoolean());
-        worker.moveTo(domainOf(id));
-        workers.put(id, worker);
+    private void boot(String address, String id) {
+        WorkerProto info = WorkerProto.newBuilder()
+                .setId(id)
+                .setBornMs(time.nowMs())
+                .setAddress(address)
+                .setPool(POOL)
+                .setFailureDomain(domainOf(address))
+                .setSequence(1)
+                .setCapacity(ResourcesProto.newBuilder()
+                        .setMilliCores(CAPACITY.milliCores())
+                        .setMemoryMb(CAPACITY.memoryMb()))
+                .build();
+        workers.put(address, new SimulatedWorker(time, this, info, random.nextBoolean()));
+    }
+
+    private void bootAgain(WorkerProto former) {
+        boolean changesId = changesIds && random.nextBoolean();
+        boot(former.getAddress(), changesId ? former.getId() + "b" : former.getId());
+    }
+
+    private SimulatedWorker worker(int number) {
+        return workers.get("w" + number % workers.size() + ":1");
+    }
+
+    private SimulatedWorker drawWorker() {
+        return worker(random.nextInt(workers.size()));
     }
 
     void crashOne() {
-        crash("w" + random.nextInt(workers.size()), 500 + random.nextInt(4_000));
+        crash(drawWorker(), 500 + random.nextInt(4_000));
     }
 
     /** Crashes some workers at the same moment, as the loss of a rack does. */
     void crashTogether(int count) {
         int first = random.nextInt(workers.size());
         for (int offset = 0; offset < count; offset++) {
-            crash("w" + (first + offset) % workers.size(), REBOOT_MS);
+            crash(worker(first + offset), REBOOT_MS);
         }
     }
 
-    private void crash(String id, long rebootMs) {
-        if (workers.get(id).isUp()) {
-            workers.get(id).crash();
-            time.after(rebootMs, () -> boot(id));
+    private void crash(SimulatedWorker worker, long durationMs) {
+        if (worker.isUp()) {
+            worker.crash();
+            time.after(durationMs, () -> bootAgain(worker.info()));
         }
     }
 
     void partitionOne(long lengthMs) {
-        String id = "w" + random.nextInt(workers.size());
-        partitioned.add(id);
-        time.after(lengthMs, () -> partitioned.remove(id));
+        String address = drawWorker().info().getAddress();
+        partitioned.add(address);
+        time.after(lengthMs, () -> partitioned.remove(address));
     }
 
     /** Shrinks a worker to a half of its capacity, or lets a shrunk one grow again. */
     void resizeOne() {
-        SimulatedWorker worker = workers.get("w" + random.nextInt(workers.size()));
+        SimulatedWorker worker = drawWorker();
         boolean isWhole = ResourceVector.of(worker.info().getCapacity()).equals(CAPACITY);
         worker.resize(isWhole ? HALF_CAPACITY : CAPACITY, CONTACT_MS + HEARTBEAT_MS);
     }
@@ -463,7 +530,7 @@
         int crashes = crashesByTask.merge(run.task(), 1, Integer::sum);
         check("start budget", crashes <= MAX_CRASHES, () -> run + " crashed " + crashes + " workers");
         crashesWithRunsOfOtherJobs += worker.runsOtherJobsThan(run.task().job()) ? 1 : 0;
-        crash(worker.info().getId(), rebootMs);
+        crash(worker, rebootMs);
     }
 
     boolean savesCheckpoints(TaskKey task) {
@@ -482,13 +549,20 @@
         }
     }
 
+    /** The violations of one invariant. */
+    List<String> violationsOf(String invariant) {
+        return violations.stream()
+                .filter(violation -> violation.contains(" " + invariant + ": "))
+                .toList();
+    }
+
     void checkStart(SimulatedWorker worker, RunKey run) {
         operator.checkStart(worker.info(), run);
         TaskKey task = run.task();
         for (SimulatedWorker other : workers.values()) {
             check(
                     "one run at a time",
-                    other == worker || !other.isRunning(task),
+                    !other.isRunning(task),
                     () -> run + " on " + worker.info().getId() + " and "
                             + other.info().getId());
         }
@@ -537,14 +611,12 @@
     }
 
     private void deliver(WorkerProto to, Order order, Consumer<OrderOutcome> result) {
-        boolean isPartitioned = partitioned.contains(to.getId());
+        boolean isPartitioned = partitioned.contains(to.getAddress());
         if (random.nextDouble() < faultRate) {
             time.after(ANSWER_TIMEOUT_MS, () -> result.accept(new OrderOutcome.Unanswered()));
-            boolean arrivesLate = random.nextBoolean();
+            boolean arrivesLate = carriesOutUnansweredLate || random.nextBoolean();
             if (arrivesLate) {
-                time.after(
-                        1_000 + random.nextInt((int) MAX_ORDER_DELAY_MS - 1_000),
-                        () -> execute(to, order, true, _late -> {}));
+                time.after(drawLateMs(), () -> execute(to, order, true, _late -> {}));
             } else if (!isPartitioned) {
                 time.after(1, () -> execute(to, order, false, _lost -> {}));
             }
@@ -557,11 +629,22 @@
         time.after(1 + random.nextInt(4), () -> execute(to, order, false, result));
     }
 
+    private long drawLateMs() {
+        long minMs = carriesOutUnansweredLate ? MIN_LATE_MS : 1_000;
+        return minMs + random.nextInt((int) (MAX_ORDER_DELAY_MS - minMs));
+    }
+
+    /** Whether a worker takes itself to be the one that an order was sent to. */
+    private boolean isAddressee(SimulatedWorker worker, WorkerProto to) {
+        boolean isSameIncarnation = worker.info().getBornMs() == to.getBornMs();
+        return worker.info().getId().equals(to.getId()) && (comparesIdsOnly || isSameIncarnation);
+    }
+
     private void execute(WorkerProto to, Order order, boolean isLate, Consumer<OrderOutcome> result) {
-        SimulatedWorker worker = workers.get(to.getId());
+        SimulatedWorker worker = workers.get(to.getAddress());
         if (!worker.isUp()) {
             result.accept(new OrderOutcome.NotSent());
-        } else if (!comparesIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
+        } else if (!isAddressee(worker, to)) {
             result.accept(new OrderOutcome.Refused(OrderRefusal.OTHER_LIFE));
         } else {
             OrderOutcome outcome = order.executeOn(worker, isLate);
@@ -571,14 +654,18 @@
 
     @Override
     public void renew(WorkerProto to, RenewOrder order, Consumer<RenewOutcome> result) {
-        if (partitioned.contains(to.getId()) || random.nextDouble() < faultRate) {
+        boolean isFaulty = partitioned.contains(to.getAddress()) || random.nextDouble() < faultRate;
+        if (isFaulty) {
             time.after(ANSWER_TIMEOUT_MS, () -> result.accept(new RenewOutcome.Unanswered(false)));
+            if (carriesOutUnansweredLate) {
+                time.after(drawLateMs(), () -> renewLate(to, order));
+            }
             return;
         }
         time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
-            SimulatedWorker worker = workers.get(to.getId());
-            boolean isReachable = worker.isUp() && !partitioned.contains(to.getId());
-            if (isReachable && !comparesIdsOnly && worker.info().getBornMs() != to.getBornMs()) {
+            SimulatedWorker worker = workers.get(to.getAddress());
+            boolean isReachable = worker.isUp() && !partitioned.contains(to.getAddress());
+            if (isReachable && !isAddressee(worker, to)) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
             } else if (isReachable) {
                 result.accept(worker.renew(order));
@@ -588,6 +675,13 @@
         });
     }
 
+    private void renewLate(WorkerProto to, RenewOrder order) {
+        SimulatedWorker worker = workers.get(to.getAddress());
+        if (worker.isUp() && isAddressee(worker, to)) {
+            worker.renew(order);
+        }
+    }
+
     @Override
     public void disconnect(WorkerProto _worker) {}
 }
