Confirm the incarnation after a failed renewal before it gets a lease

What callers saw: work run again although it was done. Cause: the renewal after one that failed went to whatever answered at the address. A worker that had restarted under its id took from it a lease reckoned on the clock of its former incarnation, which holds for as long as that one had been up, and its cursor, which made it forget ends that no leader had seen.

After a failed renewal the next one grants nothing, acknowledges nothing and does not wait; its listing names the incarnation. This works because no lease is extended before that.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -288,10 +288,10 @@
             return;
         }
         session.renewalInFlight = true;
-        boolean mayGrant = session.activated && !session.quarantined;
+        boolean mayGrant = session.activated && !session.quarantined && !session.incarnationUnconfirmed;
         long untilMs = mayGrant ? orderSender.leaseFor(session, nowMs) : 0;
-        RenewOrder order =
-                new RenewOrder(term.number(), untilMs, session.record.cursor(), mayGrant ? LISTING_WAIT_MS : 0);
+        long cursor = session.incarnationUnconfirmed ? 0 : session.record.cursor();
+        RenewOrder order = new RenewOrder(term.number(), untilMs, cursor, mayGrant ? LISTING_WAIT_MS : 0);
         link.renew(
                 session.info(),
                 order,
@@ -342,6 +342,7 @@
                 outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             }
         } else if (outcome instanceof RenewOutcome.Unanswered unanswered) {
+            session.incarnationUnconfirmed = true;
             if (!session.activated) {
                 session.forgetReport();
             }
@@ -365,6 +366,7 @@
             outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REBORN);
             return;
         }
+        session.incarnationUnconfirmed = false;
         session.clock.update(listed.clockMs(), nowMs);
         session.recordAnswer(nowMs);
         session.lastListedMs = nowMs;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -49,6 +49,8 @@
     boolean leaving;
     /** A renewal, or the stop of an abandoned run sent in its place, awaits its answer. */
     boolean renewalInFlight;
+    /** A renewal went unanswered, and the worker has not listed its runs since; it may be another incarnation. */
+    boolean incarnationUnconfirmed;
     /** An order or a renewal went unanswered, and no answer has arrived since. */
     boolean lastOrderUnanswered;
     /** When the first order or renewal since the last answer went unanswered. */
--- a/graph/src/test/java/org/lovagegrade/graph/leader/LateOrderScenario.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/LateOrderScenario.java
@@ -26,11 +26,13 @@
 
     private final SimulatedCell cell;
     private final Random random;
+    private final boolean cutsWorkersOff;
     private final List<String> jobs = new ArrayList<>();
 
-    private LateOrderScenario(SimulatedCell cell, Random random) {
+    private LateOrderScenario(SimulatedCell cell, Random random, boolean cutsWorkersOff) {
         this.cell = cell;
         this.random = random;
+        this.cutsWorkersOff = cutsWorkersOff;
     }
 
     /** Simulates the scenario that a seed draws and returns the cell with the violations that it saw. */
@@ -47,7 +49,7 @@
         if ((seed & 4) == 0) {
             cell.acceptExpiredStarts();
         }
-        new LateOrderScenario(cell, new Random(seed)).run();
+        new LateOrderScenario(cell, new Random(seed), (seed & 64) != 0).run();
         return cell;
     }
 
@@ -62,6 +64,9 @@
             if (step == freezeStep) {
                 cell.freezeLeader(FREEZE_MS);
             }
+            if (cutsWorkersOff && random.nextInt(10) == 0) {
+                cell.partitionOne(1_000 + random.nextInt(9_000));
+            }
             submit(step);
             cell.time.advance(STEP_MS);
         }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/LateOrderTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/LateOrderTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -28,5 +29,19 @@
         void shouldBeKeptWhenAWorkerRestartsTwiceBeforeALateStartArrives() {
             assertNoneViolated("capacity", 26, 30);
         }
+
+        @Test
+        void shouldBeKeptOnDrawnMixes() {
+            assertNoneViolated("capacity", LongStream.range(100, 132).toArray());
+        }
+    }
+
+    @Nested
+    final class Leases {
+        /** Guards against a worker that, once restarted, keeps its runs for as long as its former incarnation was up. */
+        @Test
+        void shouldNotBeReckonedOnTheClockOfAFormerIncarnation() {
+            assertNoneViolated("length of the lease", 8, 10, 12, 16, 18);
+        }
     }
 }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -39,7 +39,7 @@
 final class SimulatedCell implements WorkerLink {
     static final String POOL = "pool";
     private static final String QUEUE = "queue";
-    private static final long LEASE_MS = 4_000;
+    static final long LEASE_MS = 4_000;
     private static final long TICK_MS = 5;
     private static final ResourceVector CAPACITY = new ResourceVector(4_000, 4_000, 0);
     private static final ResourceVector HALF_CAPACITY = new ResourceVector(2_000, 4_000, 0);
@@ -516,7 +516,7 @@
             if (isReachable && !isAddressee(worker, to)) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
             } else if (isReachable) {
-                result.accept(worker.renew(order));
+                result.accept(worker.renew(order, false));
             } else {
                 result.accept(new RenewOutcome.Unanswered(false));
             }
@@ -526,7 +526,7 @@
     private void renewLate(WorkerProto to, RenewOrder order) {
         SimulatedWorker worker = workers.get(to.getAddress());
         if (worker.isUp() && isAddressee(worker, to)) {
-            worker.renew(order);
+            worker.renew(order, true);
         }
     }
 
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -26,6 +26,8 @@
  */
 final class SimulatedWorker {
     private static final double MIN_CLOCK_RATE = 0.98;
+    /** How far a slow clock may fall behind its leader's estimate between two answers. */
+    private static final long CLOCK_DRIFT_MS = 100;
 
     private final SimulatedTime time;
     private final SimulatedCell cell;
@@ -114,6 +116,7 @@
         if (isTooLate && order.untilMs() <= clockMs()) {
             return new OrderOutcome.Refused(OrderRefusal.TOO_LATE);
         }
+        checkLease(order.untilMs(), isLate);
         grant(order.untilMs());
         cell.checkStart(this, order.run());
         running.add(order.run());
@@ -141,11 +144,12 @@
         return new OrderOutcome.Done(clockMs());
     }
 
-    RenewOutcome renew(RenewOrder order) {
+    RenewOutcome renew(RenewOrder order, boolean isLate) {
         if (order.fencingToken() < highestFencingToken) {
             return new RenewOutcome.Refused(OrderRefusal.FENCED);
         }
         highestFencingToken = order.fencingToken();
+        checkLease(order.untilMs(), isLate);
         if (order.untilMs() > clockMs()) {
             grant(order.untilMs());
         }
@@ -164,6 +168,14 @@
         }
     }
 
+    /** A longer lease was reckoned on the clock of a former incarnation, and holds for as long as that one was up. */
+    private void checkLease(long untilMs, boolean isLate) {
+        cell.check(
+                "length of the lease",
+                isLate || untilMs <= clockMs() + SimulatedCell.LEASE_MS + CLOCK_DRIFT_MS,
+                () -> info.getId() + " of " + info.getBornMs() + " holds until " + untilMs + " at " + clockMs());
+    }
+
     private void grant(long untilMs) {
         leaseUntilMs = Math.max(leaseUntilMs, untilMs);
         time.after((long) ((leaseUntilMs - clockMs()) / clockRate) + 1, this::expireLease);
