Keep a leaving worker while a start to it waits for its commit

What callers saw: a task running in two places. Cause: a worker that announces its end is removed at once if the log has no runs there. A start that was proposed before, and is committed before the removal, was sent to the worker and then lost with it, so its task started elsewhere while the worker went on with it.

The leader removes the worker at once only if no start to it is proposed either. Otherwise it goes like a leaving worker with runs, once its leases have expired.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -167,12 +167,12 @@
                 .equals(reported.toBuilder().setSequence(0).build());
     }
 
-    /** Marks a worker as leaving, and proposes its removal at once if nothing runs there. */
+    /** Marks a worker as leaving, and proposes its removal at once if nothing runs or is about to start there. */
     void handleWorkerLeaving(String worker, Runnable acknowledge) {
         Optional<WorkerSession> session = driver.session(worker);
         if (session.isPresent()) {
             session.get().leaving = true;
-            if (session.get().record.runs().isEmpty()) {
+            if (session.get().record.runs().isEmpty() && !hasProposedStart(worker)) {
                 proposer.propose(GraphCommandProto.newBuilder()
                         .setWorkerGone(WorkerGoneProto.newBuilder()
                                 .setWorker(worker)
@@ -182,6 +182,12 @@
         acknowledge.run();
     }
 
+    /** Whether a start that may be committed before any later command goes to the worker. */
+    private boolean hasProposedStart(String worker) {
+        return proposedStarts.values().stream()
+                .anyMatch(placement -> placement.worker().getId().equals(worker));
+    }
+
     void handleAdvicePoll(AdvicePollProto poll, Consumer<List<AdviceQuestionProto>> reply) {
         dirty |= adviceBroker.poll(poll.getCaller(), poll.getResultsList(), reply, clock.nowMs());
     }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -69,6 +69,9 @@
     private final Map<String, SimulatedWorker> workers = new HashMap<>();
 
     private final Set<String> partitioned = new HashSet<>();
+    /** The addresses of workers that report nothing. */
+    private final Set<String> silent = new HashSet<>();
+
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
     private SimulatedLeader leader;
     private long term;
@@ -249,8 +252,9 @@
     }
 
     private void heartbeat(SimulatedWorker worker) {
-        boolean isReachable =
-                worker.isUp() && !partitioned.contains(worker.info().getAddress());
+        boolean isReachable = worker.isUp()
+                && !partitioned.contains(worker.info().getAddress())
+                && !silent.contains(worker.info().getAddress());
         boolean isDue = random.nextInt(100) == 0 || time.nowMs() % HEARTBEAT_MS < TICK_MS;
         if (isReachable && isDue) {
             long ownTerm = term;
@@ -310,6 +314,13 @@
         time.after(lengthMs, () -> partitioned.remove(address));
     }
 
+    /** Announces that a worker leaves, which reports nothing after that but goes on with its runs. */
+    void leave(int number) {
+        WorkerProto leaving = worker(number).info();
+        silent.add(leaving.getAddress());
+        leader.duties().handleWorkerLeaving(leaving.getId(), () -> {});
+    }
+
     /** Shrinks a worker to a half of its capacity, or lets a shrunk one grow again. */
     void resizeOne() {
         SimulatedWorker worker = drawWorker();
