--- a/graph/src/main/java/org/lovagegrade/graph/advice/QuestionWish.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/QuestionWish.java
@@ -15,8 +15,7 @@
 public record QuestionWish(String step, String queue, List<String> workers, QuestionRank rank, double costMs) {
     /** Returns this question without some workers, given by their ids. */
     QuestionWish without(Predicate<String> isExcluded) {
-        List<String> others =
-                workers.stream().filter(isExcluded.negate()).toList();
+        List<String> others = workers.stream().filter(isExcluded.negate()).toList();
         return new QuestionWish(step, queue, others, rank, costMs);
     }
 }
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -46,7 +46,7 @@
 final class SimulatedCell implements WorkerLink {
     static final String POOL = "pool";
     private static final String QUEUE = "queue";
-    private static final long LEASE_MS = 4_000;
+    static final long LEASE_MS = 4_000;
     private static final long TICK_MS = 5;
     private static final ResourceVector CAPACITY = new ResourceVector(4_000, 4_000, 0);
     private static final ResourceVector HALF_CAPACITY = new ResourceVector(2_000, 4_000, 0);
@@ -76,6 +76,9 @@
     private final Map<String, SimulatedWorker> workers = new HashMap<>();
 
     private final Set<String> partitioned = new HashSet<>();
+    /** The addresses of workers that report nothing. */
+    private final Set<String> silent = new HashSet<>();
+
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
     private final SimulatedOperator operator;
     private int failureDomains;
@@ -373,8 +376,9 @@
     }
 
     private void heartbeat(SimulatedWorker worker) {
-        boolean isReachable =
-                worker.isUp() && !partitioned.contains(worker.info().getAddress());
+        boolean isReachable = worker.isUp()
+                && !partitioned.contains(worker.info().getAddress())
+                && !silent.contains(worker.info().getAddress());
         boolean isDue = random.nextInt(100) == 0 || time.nowMs() % HEARTBEAT_MS < TICK_MS;
         if (isReachable && isDue) {
             long ownTerm = term;
@@ -436,6 +440,13 @@
         time.after(lengthMs, () -> partitioned.remove(address));
     }
 
+    /** Announces that a worker leaves, which reports nothing after that but goes on with its runs. */
+    void leave(int number) {
+        WorkerProto leaving = worker(number).info();
+        silent.add(leaving.getAddress());
+        leader.duties().handleWorkerLeaving(leaving.getId(), () -> {});
+    }
+
     /** Shrinks a worker to a half of its capacity, or lets a shrunk one grow again. */
     void resizeOne() {
         SimulatedWorker worker = drawWorker();
@@ -668,7 +679,7 @@
             if (isReachable && !isAddressee(worker, to)) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
             } else if (isReachable) {
-                result.accept(worker.renew(order));
+                result.accept(worker.renew(order, false));
             } else {
                 result.accept(new RenewOutcome.Unanswered(false));
             }
@@ -678,7 +689,7 @@
     private void renewLate(WorkerProto to, RenewOrder order) {
         SimulatedWorker worker = workers.get(to.getAddress());
         if (worker.isUp() && isAddressee(worker, to)) {
-            worker.renew(order);
+            worker.renew(order, true);
         }
     }
 
--- a/state/src/test/java/org/lovagegrade/state/replica/OverloadTest.java
+++ b/state/src/test/java/org/lovagegrade/state/replica/OverloadTest.java
@@ -71,6 +71,11 @@
             task.run();
         }
 
+        @Override
+        public boolean holdsLease() {
+            return true;
+        }
+
         @Override
         public long term() {
             return 1;
