Backlog: leave out occurrences of which nothing waits

They counted as waiting items in the line submissionRefused and stayed in memory until their job ended. mvn verify of graph with 56 selected tests passed.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkAccount.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkAccount.java
@@ -156,11 +156,19 @@
     private void refresh(JobRecord job, QueueProto queue, long wallMs) {
         for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
             if (!job.isFinished() && job.dueAtMs(occurrence) <= wallMs) {
-                backlog.put(item(job, occurrence, queue));
+                putIfWaiting(item(job, occurrence, queue));
             }
         }
     }
 
+    private void putIfWaiting(WorkItem item) {
+        if (item.work().tasks() > 0) {
+            backlog.put(item);
+        } else {
+            backlog.remove(item.id());
+        }
+    }
+
     private static String itemId(JobRecord job, int occurrence) {
         return job.id() + "." + occurrence;
     }
