--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -456,12 +456,11 @@
 
     /** Withdraws a worker with notice; another incarnation follows it. */
     void drainOne(long noticeMs) {
-        String id = "w" + random.nextInt(workers.size());
-        SimulatedWorker worker = workers.get(id);
+        SimulatedWorker worker = drawWorker();
         worker.drain(noticeMs);
         time.after(noticeMs, () -> {
-            if (workers.get(id) == worker) {
-                crash(id, REBOOT_MS);
+            if (workers.get(worker.info().getAddress()) == worker) {
+                crash(worker, REBOOT_MS);
             }
         });
     }
--- a/graph/src/test/java/org/lovagegrade/graph/planning/AdviceLoadTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/AdviceLoadTest.java
@@ -15,6 +15,10 @@
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.kernel.metrics.Metrics;
+import org.lovagegrade.overload.CostOfDelay;
+import org.lovagegrade.overload.Objective;
+import org.lovagegrade.overload.RemainingWork;
+import org.lovagegrade.overload.WorkItem;
 import org.lovagegrade.wire.proto.AdviceCostProto;
 import org.lovagegrade.wire.proto.AdviceQuestionProto;
 import org.lovagegrade.wire.proto.AdviceResultProto;
@@ -40,9 +44,12 @@
                     .setValidMs(2_000))
             .build();
 
+    private static final CostOfDelay COST = CostOfDelay.of(
+            WorkItem.of("j", "team", 1, Objective.within(12_000), RemainingWork.of(5_000, 1_800_000)), 0);
+
     private final Random random = new Random(SEED);
     private final GraphStateMachine machine = GraphStateMachine.withRetention(1_000);
-    private final AdviceBroker broker = new AdviceBroker(1, Metrics.create());
+    private final AdviceBroker broker = new AdviceBroker(1, _question -> {}, Metrics.create());
     private final List<AdviceQuestionProto> asked = new ArrayList<>();
     private long nowMs;
     private int questions;
@@ -100,6 +107,7 @@
                 IntStream.range(0, 20).boxed().toList(),
                 Urgency.IN_TIME,
                 0,
+                COST,
                 _index -> false,
                 _index -> Set.of());
     }
@@ -111,7 +119,14 @@
                 .boxed()
                 .toList());
         for (int question = 0; question <= maxQuestions; question++) {
-            Plan plan = new Planner(fleet(freeMilliCores), lookup(), new WorkspaceQuotas()).plan(List.of(gang));
+            Plan plan = new Planner(
+                            fleet(freeMilliCores),
+                            lookup(),
+                            new WorkspaceQuotas(),
+                            new GangReservations(_reservation -> {}),
+                            new RunTimes(),
+                            nowMs)
+                    .plan(List.of(gang));
             if (!plan.placements().isEmpty()) {
                 return true;
             }
