--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -196,9 +196,9 @@
                 .filter(run -> run.key().task().job().equals(job))
                 .findFirst()
                 .orElseThrow();
-        EndedRunView end = workers.get(lost.worker())
-                .end(lost.key(), RunEndProto.RUN_FAILED)
-                .orElseThrow();
+        String address = machine.workers().get(lost.worker()).info().getAddress();
+        EndedRunView end =
+                workers.get(address).end(lost.key(), RunEndProto.RUN_FAILED).orElseThrow();
         elect();
         machine.apply(GraphCommandProto.newBuilder()
                 .setAtMs(time.nowMs())
