Overload: state units and bounds in doc comments, and name the capacity by its unit

Some comments were figurative or left out the unit or the upper bound, and ServiceRate.capacity held cores without saying so. Comments and private names only.

--- a/overload/src/main/java/org/lovagegrade/overload/AdmissionControl.java
+++ b/overload/src/main/java/org/lovagegrade/overload/AdmissionControl.java
@@ -8,14 +8,14 @@
 public final class AdmissionControl {
     private static final long MIN_RETRY_MS = 1_000;
     private static final long MAX_RETRY_MS = 60_000;
-    /** Callers that are refused together return over a time that is longer by up to this part. */
+    /** The time to retry is longer by up to this fraction, so that callers refused together don't return together. */
     private static final double RETRY_SPREAD = 0.5;
 
     private static final int SPREAD_STEPS = 1_024;
 
     private AdmissionControl() {}
 
-    /** How long an item waits for work ahead of it. */
+    /** How long an item waits for the work ahead of it, by the limit that delays it. */
     private record Wait(RefusalReason cause, long coreMsAhead, double waitMs) {
         Wait orLonger(Wait other) {
             return other.waitMs > waitMs ? other : this;
@@ -29,7 +29,8 @@
      * @param backlog the work that waits
      * @param rate the rate at which work leaves
      * @param nowMs the present time, in milliseconds since 1970
-     * @return accepted, also if no worker is known yet or the result would come too late without any wait, or refused
+     * @return accepted, also if no worker is known yet or the result would be useless even without a wait; otherwise
+     *     refused
      */
     public static AdmissionDecision decide(WorkItem item, Backlog backlog, ServiceRate rate, long nowMs) {
         boolean isUsefulAtOnce =
@@ -102,7 +103,7 @@
         return nowMs + Math.round(wait.waitMs()) + item.work().pathMs();
     }
 
-    /** By then, what is too much ahead has left; spread by the item's name, so that callers don't return together. */
+    /** The time until the excess work ahead has left, spread by a hash of the item's id so that callers don't return together. */
     private static long retryAfterMs(String id, long overrunMs) {
         int hash = id.hashCode();
         int mixed = hash ^ (hash >>> 16) ^ (hash >>> 8);
--- a/overload/src/main/java/org/lovagegrade/overload/AdmissionDecision.java
+++ b/overload/src/main/java/org/lovagegrade/overload/AdmissionDecision.java
@@ -14,7 +14,7 @@
      * The work is refused, since its result would come too late to be useful.
      *
      * @param reason what is short
-     * @param retryAfterMs when the caller should submit it again, in milliseconds from now, at least 1,000
+     * @param retryAfterMs when the caller should submit it again, in milliseconds from now, from 1,000 to 90,000
      * @param coreMsAhead the work that would have gone before it, in core-milliseconds
      */
     record Refused(RefusalReason reason, long retryAfterMs, long coreMsAhead) implements AdmissionDecision {}
--- a/overload/src/main/java/org/lovagegrade/overload/Backlog.java
+++ b/overload/src/main/java/org/lovagegrade/overload/Backlog.java
@@ -38,6 +38,7 @@
         }
     }
 
+    /** Adds an item to the sums, or subtracts it if {@code sign} is -1. */
     private void add(WorkItem item, int sign) {
         fleet.add(item, sign);
         byWorkspace
--- a/overload/src/main/java/org/lovagegrade/overload/CostOfDelay.java
+++ b/overload/src/main/java/org/lovagegrade/overload/CostOfDelay.java
@@ -9,7 +9,7 @@
  * @param slackShare the part of the slack at the objective's start that is left, from 0 to 1; 1 for a late item
  * @param promotion how far the item goes ahead in its group at this time, since it is about to miss its objective; 0 if not
  * @param value the value of a result now, where 1 is that of an item of mean size that is in time
- * @param lossPerCoreMs the value that is at risk, by work and slack, per core-millisecond
+ * @param lossPerCoreMs the value at risk per core-millisecond of waiting work, which grows as the slack shrinks
  */
 public record CostOfDelay(
         WorkItem item,
--- a/overload/src/main/java/org/lovagegrade/overload/Objective.java
+++ b/overload/src/main/java/org/lovagegrade/overload/Objective.java
@@ -1,7 +1,7 @@
 package org.lovagegrade.overload;
 
 /**
- * When a result has its full value, and when it has any.
+ * The times until which a result has its full value, and until which it has any value.
  *
  * <p>Example: {@code Objective.within(1_750).from(submittedMs)}
  *
@@ -13,7 +13,7 @@
     /** A result is useful if it takes at most this many times the objective. */
     public static final int USEFUL_FACTOR = 3;
 
-    /** Far beyond any wait, and small enough for sums with times since 1970. */
+    /** Longer than any wait, and small enough not to overflow in sums with times since 1970. */
     private static final long UNLIMITED_MS = Long.MAX_VALUE / 8;
 
     /**
--- a/overload/src/main/java/org/lovagegrade/overload/RateMeter.java
+++ b/overload/src/main/java/org/lovagegrade/overload/RateMeter.java
@@ -1,12 +1,12 @@
 package org.lovagegrade.overload;
 
-/** Measures an amount per millisecond as an average in which older amounts fade. */
+/** Measures an amount per millisecond as a moving average with exponentially falling weights. */
 final class RateMeter {
     private final double windowMs;
     private double sum;
     private long updatedAtMs;
 
-    /** Creates a meter in which an amount fades by a factor of e in the given time. */
+    /** Creates a meter in which the weight of an amount falls by a factor of e in {@code windowMs}. */
     RateMeter(long windowMs) {
         this.windowMs = windowMs;
     }
--- a/overload/src/main/java/org/lovagegrade/overload/RefusalReason.java
+++ b/overload/src/main/java/org/lovagegrade/overload/RefusalReason.java
@@ -4,6 +4,6 @@
 public enum RefusalReason {
     /** The workers can't serve the work ahead in time. */
     FLEET_FULL,
-    /** The workspace can't serve the work ahead in time within its own limit. */
+    /** The upper limit of the workspace doesn't let the work ahead be served in time. */
     WORKSPACE_FULL
 }
--- a/overload/src/main/java/org/lovagegrade/overload/RemainingWork.java
+++ b/overload/src/main/java/org/lovagegrade/overload/RemainingWork.java
@@ -1,11 +1,11 @@
 package org.lovagegrade.overload;
 
 /**
- * What is left to do of an item, by estimates that are corrected by observed runs.
+ * What is left to do of an item, by estimates that are corrected by observed run times.
  *
  * @param pathMs the critical path that is left, in milliseconds
  * @param coreMs the work that waits for capacity, in core-milliseconds
- * @param doneCoreMs the work that is done or runs, in core-milliseconds
+ * @param doneCoreMs the work of tasks that are done or running, in core-milliseconds
  * @param relativeSize the whole work relative to the mean of its queue; 1 if that is unknown
  * @param tasks the number of tasks that wait
  * @param gang whether tasks must start together
@@ -23,9 +23,9 @@
     }
 
     /**
-     * Adds work that is done already.
+     * Sets the work that is done already.
      *
-     * @param coreMsDone the work that is done or runs, in core-milliseconds
+     * @param coreMsDone the work of tasks that are done or running, in core-milliseconds
      * @return the same work that waits, with the work that was done
      */
     public RemainingWork having(long coreMsDone) {
--- a/overload/src/main/java/org/lovagegrade/overload/RunTimeRatios.java
+++ b/overload/src/main/java/org/lovagegrade/overload/RunTimeRatios.java
@@ -11,9 +11,9 @@
 public final class RunTimeRatios {
     private static final double MIN_RATIO = 0.5;
     private static final double MAX_RATIO = 3;
-    /** A queue starts with a ratio of 1, as if this many runs had shown it. */
+    /** The ratio of a queue begins at 1, with the weight of this many runs. */
     private static final int PRIOR_RUNS = 8;
-    /** The sums are halved at this many runs, so that older runs fade. */
+    /** The sums are halved at this many runs, so that recent runs weigh more. */
     private static final int WINDOW_RUNS = 256;
 
     private final Map<String, Sums> sumsByQueue = new HashMap<>();
--- a/overload/src/main/java/org/lovagegrade/overload/ServiceRate.java
+++ b/overload/src/main/java/org/lovagegrade/overload/ServiceRate.java
@@ -3,7 +3,7 @@
 import java.util.TreeMap;
 
 /**
- * The rate at which work leaves, measured while work waits, and the rate at which work arrives.
+ * The rate at which work leaves the backlog, measured while work waits, and the rate at which work arrives.
  *
  * <p>Without measurements, as after an election, it is the capacity of the workers. It follows a change of capacity at
  * once, since it is measured as a part of the capacity.
@@ -14,9 +14,9 @@
 
     private static final long LONG_RUN_MS = 60_000;
     private static final long EFFICIENCY_WINDOW_MS = 20_000;
-    /** Work of the first milliseconds is assumed to have left at full capacity. */
+    /** Without measurements the workers are taken to be fully used, with the weight of measurements of this time. */
     private static final double PRIOR_MS = 5_000;
-    /** Waiting work that is held back by limits or tickets must not make the whole fleet look slow. */
+    /** Bounds the effect of waiting work that is held back by limits or tickets although capacity is free. */
     private static final double MIN_EFFICIENCY = 0.5;
     /** Arrivals in the long run leave at least this part of the rate to work that waits. */
     private static final double MIN_LONG_RUN_SHARE = 0.1;
@@ -27,7 +27,7 @@
     private final TreeMap<Integer, Arrivals> arrivalsByPriority = new TreeMap<>();
     private final RateMeter servedCoreMs = new RateMeter(EFFICIENCY_WINDOW_MS);
     private final RateMeter offeredCoreMs = new RateMeter(EFFICIENCY_WINDOW_MS);
-    private double capacity;
+    private double capacityCores;
     private long observedAtMs;
     private boolean wasBacklogged;
 
@@ -51,7 +51,7 @@
      * @param milliCores thousandths of a core; 0 if no worker is known
      */
     public void setCapacity(long milliCores) {
-        capacity = milliCores / MILLI_CORES_PER_CORE;
+        capacityCores = milliCores / MILLI_CORES_PER_CORE;
     }
 
     /**
@@ -78,7 +78,7 @@
     public void left(long coreMs, boolean isBacklogged, long nowMs) {
         if (isBacklogged && wasBacklogged) {
             servedCoreMs.add(coreMs, nowMs);
-            offeredCoreMs.add(Math.round(Math.max(0, nowMs - observedAtMs) * capacity), nowMs);
+            offeredCoreMs.add(Math.round(Math.max(0, nowMs - observedAtMs) * capacityCores), nowMs);
         }
         wasBacklogged = isBacklogged;
         observedAtMs = nowMs;
@@ -91,17 +91,18 @@
      * @return core-milliseconds per millisecond; 0 if no worker is known
      */
     public double coreMsPerMs(long nowMs) {
-        double prior = capacity * PRIOR_MS / EFFICIENCY_WINDOW_MS;
+        double prior = capacityCores * PRIOR_MS / EFFICIENCY_WINDOW_MS;
         double offered = offeredCoreMs.perMs(nowMs) + prior;
         double efficiency = offered > 0 ? (servedCoreMs.perMs(nowMs) + prior) / offered : 1;
-        return capacity * Math.min(1, Math.max(MIN_EFFICIENCY, efficiency));
+        return capacityCores * Math.min(1, Math.max(MIN_EFFICIENCY, efficiency));
     }
 
-    /** Work of the priorities below the given number. */
+    /** The work that is expected to arrive with a priority number below the given one, which goes first. */
     ExpectedArrivals arrivalsBefore(int priority, long nowMs) {
         return expected(arrivalsByPriority.headMap(priority).values(), nowMs);
     }
 
+    /** The work that is expected to arrive with any priority. */
     ExpectedArrivals arrivals(long nowMs) {
         return expected(arrivalsByPriority.values(), nowMs);
     }
--- a/overload/src/main/java/org/lovagegrade/overload/WaitingWork.java
+++ b/overload/src/main/java/org/lovagegrade/overload/WaitingWork.java
@@ -7,7 +7,7 @@
 
 /** Sums of waiting work by priority and share, and by the last times at which it can start to be in time or useful. */
 final class WaitingWork {
-    /** Times are rounded down to this, which bounds the number of sums that a decision visits. */
+    /** Times are rounded down to a multiple of this, which bounds the number of sums that a decision adds up. */
     private static final long BUCKET_MS = 500;
 
     private final Map<Group, Sums> groups = new HashMap<>();
@@ -23,8 +23,8 @@
                 return withinShare;
             }
             // Small items of the same priority use capacity that a gang can't use yet.
-            boolean isPassed = gang && !item.work().gang();
-            return isPassed ? priority < item.priority() : priority <= item.priority();
+            boolean isPassedBySmallItem = gang && !item.work().gang();
+            return isPassedBySmallItem ? priority < item.priority() : priority <= item.priority();
         }
     }
 
@@ -34,6 +34,7 @@
         }
     }
 
+    /** Adds an item to the sums, or subtracts it if {@code sign} is -1. */
     void add(WorkItem item, int sign) {
         Sums sums = groups.computeIfAbsent(Group.of(item), _group -> new Sums());
         long pathMs = item.work().pathMs();
@@ -60,7 +61,7 @@
         return coreMs;
     }
 
-    /** The work that goes before a late item: all work in time, and late work that goes before it. */
+    /** The work that goes before a late item, in core-milliseconds: all work in time, and the late work ahead of it. */
     long usefulAhead(WorkItem item, long nowMs) {
         long coreMs = 0;
         for (Map.Entry<Group, Sums> group : groups.entrySet()) {
@@ -70,6 +71,7 @@
         return coreMs;
     }
 
+    /** The work that can still start in time or be useful, in core-milliseconds. */
     private static long sumFrom(NavigableMap<Long, Long> byStart, long nowMs) {
         long coreMs = 0;
         for (long part : byStart.tailMap(Math.floorDiv(nowMs, BUCKET_MS)).values()) {
