Compute core-milliseconds of the graph module in one place

RunUsage and JobAccounting repeated the conversion that WorkEstimate.coreMs has, with a constant of their own. The arithmetic is the same.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/JobAccounting.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/JobAccounting.java
@@ -9,6 +9,7 @@
 import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.graph.planning.Urgency;
+import org.lovagegrade.graph.planning.WorkEstimate;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
@@ -19,7 +20,6 @@
 final class JobAccounting {
     private static final String JOBS_OVER = "lovagegrade_jobs_over";
     private static final String JOB_WAIT_MS = "lovagegrade_job_wait_ms";
-    private static final long MILLI_CORES_PER_CORE = 1_000;
 
     private final GraphStateMachine machine;
     private final Clock wallClock;
@@ -93,12 +93,12 @@
                 .orElse(0);
     }
 
-    /** The work of one occurrence by the estimates of its steps. */
+    /** The work of one occurrence by the estimates of its steps, in core-milliseconds. */
     private static long estimatedCoreMs(List<StepRecord> steps) {
         return steps.stream()
-                .mapToLong(step -> step.perTask().times(step.tasks().size()).milliCores()
-                        * step.spec().getEstimateMs()
-                        / MILLI_CORES_PER_CORE)
+                .mapToLong(step -> WorkEstimate.coreMs(
+                        step.perTask().times(step.tasks().size()).milliCores(),
+                        step.spec().getEstimateMs()))
                 .sum();
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunUsage.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunUsage.java
@@ -1,5 +1,7 @@
 package org.lovagegrade.graph.leader;
 
+import org.lovagegrade.graph.planning.WorkEstimate;
+
 /**
  * What a run used of its worker.
  *
@@ -8,15 +10,12 @@
  * @param waste why the remaining part was lost
  */
 record RunUsage(long coreMs, long savedCoreMs, WasteCause waste) {
-    private static final long MILLI_CORES_PER_CORE = 1_000;
-
     /** A run that used nothing, or whose use was reported before. */
     static final RunUsage NONE = new RunUsage(0, 0, WasteCause.NONE);
 
     /** The use of a run that holds the given cores for {@code usedMs}, of which {@code savedMs} are not lost. */
     static RunUsage of(long milliCores, long usedMs, long savedMs, WasteCause waste) {
-        return new RunUsage(
-                milliCores * usedMs / MILLI_CORES_PER_CORE, milliCores * savedMs / MILLI_CORES_PER_CORE, waste);
+        return new RunUsage(WorkEstimate.coreMs(milliCores, usedMs), WorkEstimate.coreMs(milliCores, savedMs), waste);
     }
 
     long wastedCoreMs() {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/WorkEstimate.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/WorkEstimate.java
@@ -23,7 +23,7 @@
     private static final long MILLI_CORES_PER_CORE = 1_000;
 
     /**
-     * Estimates a job that nothing is done of.
+     * Estimates a job of which nothing is done.
      *
      * @param graph the job as submitted
      * @return the work of one occurrence
@@ -51,7 +51,7 @@
     }
 
     /**
-     * The work that an amount of processor time does.
+     * The work that cores do in a time; parts of a core-millisecond are dropped.
      *
      * @param milliCores thousandths of a core
      * @param durationMs for how long, in milliseconds
