Graph: plain comments and private names for holds, questions and runs

Several comments were figurative or contradicted the code: AdviceBroker doesn't report a question that its process did not receive, and WorkerDriver.requestStop without a cause is also used for evictions. In GangReservations, Held was also a pause, and holdAgain also applied the first hold: they are now Period and applyHolds. UnreportedResults.at is withAges. No behaviour changes.

--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
@@ -33,7 +33,7 @@
     private static final double QUICK_QUESTION_SHARE = 0.4;
     /** The fraction of processes that may ask about work whose result will be useless; at least one may. */
     private static final double USELESS_QUESTION_SHARE = 0.1;
-    /** A question is sent to another process this long, and this part of its cost, after its expected duration. */
+    /** A question times out after its expected duration, {@link #ANSWER_SLACK_SHARE} of it, and this time. */
     private static final long ANSWER_SLACK_MS = 400;
 
     private static final double ANSWER_SLACK_SHARE = 0.5;
@@ -53,7 +53,7 @@
     private final Metrics metrics;
     private long nextQuestionNumber;
 
-    /** What became of a question. */
+    /** The outcome of a question. */
     private enum Outcome {
         /** The adviser answered in time. */
         ANSWERED,
@@ -92,7 +92,8 @@
      *
      * @param firstQuestionNumber the number of the first question; greater than the numbers of earlier leaders, so that
      *     a late answer to a question of theirs isn't taken for an answer to one of this broker
-     * @param settledQuestions receives each question that was sent, once it is answered or given up
+     * @param settledQuestions receives each question that was sent, once it is answered or has timed out; not one that
+     *     its process did not receive
      * @param metrics counts the questions by their outcome
      */
     public AdviceBroker(long firstQuestionNumber, Consumer<SettledQuestion> settledQuestions, Metrics metrics) {
@@ -199,7 +200,8 @@
      * @param results the results of its earlier questions
      * @param reply receives the next question, or an empty list when the poll times out
      * @param nowMs the present time in milliseconds
-     * @return whether a question was settled, with or without an answer
+     * @return whether a question is no longer pending: it was settled, with or without an answer, or its process did not
+     *     receive it
      */
     public boolean poll(
             String caller, List<AdviceResultProto> results, Consumer<List<AdviceQuestionProto>> reply, long nowMs) {
@@ -215,7 +217,7 @@
         return isSettled;
     }
 
-    /** Releases a question that its process doesn't ask: a process polls only when it has no question. */
+    /** Releases a question that its process didn't receive: a process polls only when it has no question. */
     private boolean releaseQuestionOf(String caller) {
         Optional<Question> lost = inFlight.values().stream()
                 .filter(question -> question.caller().equals(caller))
--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceCallers.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceCallers.java
@@ -8,7 +8,7 @@
  * whose answers come late is used only if no better one is free.
  */
 final class AdviceCallers {
-    /** A process that hasn't polled for this long is not counted. */
+    /** A process that hasn't polled for this long is removed. */
     private static final long SILENCE_TIMEOUT_MS = 5_000;
     /** The rest after a failed question; it doubles with each further one. */
     private static final long FIRST_REST_MS = 100;
@@ -17,8 +17,8 @@
 
     private static final int MAX_DOUBLINGS = 4;
     private static final double WEIGHT_OF_LAST_ANSWER = 0.3;
-    /** Lateness fades with each poll, so that a process that has recovered is used again. */
-    private static final double FADING_PER_POLL = 0.95;
+    /** The lateness is multiplied by this at each poll, so that a process that has recovered is used again. */
+    private static final double LATENESS_FACTOR_PER_POLL = 0.95;
 
     private final Map<String, Caller> callers = new HashMap<>();
 
@@ -32,7 +32,7 @@
     void polled(String name, long nowMs) {
         Caller caller = callers.computeIfAbsent(name, _name -> new Caller());
         caller.polledAtMs = nowMs;
-        caller.lateMs *= FADING_PER_POLL;
+        caller.lateMs *= LATENESS_FACTOR_PER_POLL;
     }
 
     void answered(String name, double lateMs) {
@@ -58,7 +58,7 @@
         return caller != null && nowMs < caller.restsUntilMs;
     }
 
-    /** Returns by how much the latest answers exceeded their expected duration, in milliseconds. */
+    /** Returns the moving average by which answers exceeded their expected duration, in milliseconds. */
     double lateMs(String name) {
         Caller caller = callers.get(name);
         return caller == null ? 0 : caller.lateMs;
--- a/graph/src/main/java/org/lovagegrade/graph/advice/QuestionWish.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/QuestionWish.java
@@ -4,7 +4,7 @@
 import java.util.function.Predicate;
 
 /**
- * A question that the latest plan wants to have asked.
+ * A question that the latest plan requests; it is not sent yet and a later plan may replace it.
  *
  * @param step the step's name
  * @param queue the name of the step's queue
--- a/graph/src/main/java/org/lovagegrade/graph/client/AdviceCaller.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/AdviceCaller.java
@@ -71,7 +71,7 @@
         }
         AdvicePollProto request = AdvicePollProto.newBuilder()
                 .setCaller(caller)
-                .addAllResults(results.at(clock.nowMs()))
+                .addAllResults(results.withAges(clock.nowMs()))
                 .build();
         client.ask(GraphRequestProto.newBuilder().setAdvice(request).build(), POLL_TIMEOUT_MS, MAX_HOLD_MS)
                 .thenAccept(this::handleAnswer);
--- a/graph/src/main/java/org/lovagegrade/graph/client/UnreportedResults.java
+++ b/graph/src/main/java/org/lovagegrade/graph/client/UnreportedResults.java
@@ -21,8 +21,8 @@
         results.add(new Result(result, receivedAtMs));
     }
 
-    /** Returns the results with their ages at the given time. */
-    List<AdviceResultProto> at(long nowMs) {
+    /** Returns the results that are not too old, each with its age at the given time. */
+    List<AdviceResultProto> withAges(long nowMs) {
         results.removeIf(result -> result.receivedAtMs() + MAX_AGE_MS < nowMs);
         return results.stream()
                 .map(result -> result.proto().toBuilder()
--- a/graph/src/main/java/org/lovagegrade/graph/leader/EvacuationEffect.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/EvacuationEffect.java
@@ -6,10 +6,10 @@
 import org.lovagegrade.kernel.logging.Log;
 
 /**
- * What a committed order finds in its failure domain.
+ * The workers, runs and starts that a committed order about a failure domain affects.
  *
  * @param evacuation the order
- * @param workers the number of workers
+ * @param workers the number of workers in the failure domain
  * @param runs the number of runs, which go on
  * @param unconfirmedStarts the number of committed starts that no worker has confirmed; an evacuation withdraws them
  */
--- a/graph/src/main/java/org/lovagegrade/graph/leader/LateStarts.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/LateStarts.java
@@ -15,7 +15,7 @@
 
     private final Map<RunKey, Long> possibleUntilMs = new HashMap<>();
 
-    /** Records that a start of the run went unanswered, or may do so. */
+    /** Records that a start of the run went unanswered, or that its answer is still awaited when the session ends. */
     void record(RunKey run, long nowMs) {
         possibleUntilMs.put(run, nowMs + MAX_ORDER_DELAY_MS);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/LeavingWorkers.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/LeavingWorkers.java
@@ -7,11 +7,11 @@
 import org.lovagegrade.graph.planning.RunTimes;
 
 /**
- * Finds the runs that a leaving worker would take along although they can save a checkpoint. They are stopped as late as
- * a stop allows, since until then they make progress that the checkpoint saves.
+ * Finds the runs that would be lost with a leaving worker although they can save a checkpoint. They are stopped as late as
+ * the duration of a stop allows, since the checkpoint saves the progress that they make until then.
  */
 final class LeavingWorkers {
-    /** Covers the time between two checks, and the way of the order to the worker. */
+    /** Covers the time between two checks and the delay of the order to the worker. */
     private static final long STOP_MARGIN_MS = 600;
 
     private final LeaderTimings timings;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -56,7 +56,7 @@
     String checkpoint = "";
     /** Why a stop was requested. */
     WasteCause stopCause = WasteCause.NONE;
-    /** What the run used was reported. */
+    /** The use of the run was accounted for. */
     boolean accounted;
 
     /** For how long the progress had not changed at the latest listing, in milliseconds. */
@@ -69,9 +69,12 @@
     /** The run was started in an earlier term, so that its start time is unknown. */
     private final boolean takenOver;
 
+    /** When a listing first showed the latest checkpoint. */
     private long checkpointSinceMs;
 
+    /** The progress that was listed last and first, and when; -1 before any listing. */
     private int percent = -1;
+
     private long percentSinceMs;
     private int firstPercent = -1;
     private long firstPercentMs;
@@ -147,7 +150,10 @@
         noProgressMs = nowMs - percentSinceMs;
     }
 
-    /** How long the run has taken from its first start to now, in milliseconds, if both are known. */
+    /**
+     * How long a run that did the whole work of its task has taken, in milliseconds; empty if it resumed from a checkpoint
+     * or its start is not known.
+     */
     OptionalLong wholeRunMs(long nowMs) {
         boolean isKnown =
                 !takenOver && existsSinceMs != NEVER_SEEN && run.checkpoint().isEmpty();
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkAccount.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkAccount.java
@@ -23,9 +23,13 @@
 import org.lovagegrade.wire.proto.QueueProto;
 import org.lovagegrade.wire.proto.RunEndProto;
 
-/** What the leader knows of the work of jobs: their sizes, the shares of workspaces, and how long runs really take. */
+/**
+ * What the leader knows of the work of jobs: their sizes, the shares of workspaces, the ratio of actual to estimated run
+ * times, the backlog, and the rate at which work leaves it. It provides the inputs of the order {@code cost} and of
+ * admission control.
+ */
 final class WorkAccount {
-    /** Work waits if it is more than the workers can do in this time. */
+    /** There is a backlog if the waiting work is more than the workers can do in this time. */
     private static final long BACKLOGGED_MS = 1_000;
 
     private final GraphStateMachine machine;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -115,7 +115,7 @@
             BooleanSupplier holdsLease,
             DriverSafeguards safeguards) {}
 
-    /** A number from which this leader counts, out of reach of the numbers of earlier leaders. */
+    /** The first of the numbers that this leader assigns; higher than all numbers of earlier leaders. */
     long firstIdOfTerm() {
         return term.number() << Integer.SIZE;
     }
@@ -280,7 +280,7 @@
         return worker.getId().equals(successor.getId()) ? worker.getBornMs() != successor.getBornMs() : isSameAddress;
     }
 
-    /** Stops a run whose end shows by itself why: its job is over or its task is done. */
+    /** Stops a run without recording a cause, such as one whose job is over or whose task is done. */
     void requestStop(RunRecord run, long nowMs) {
         requestStop(run, WasteCause.NONE, nowMs);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -25,7 +25,7 @@
     /** Longer than the time between two answers, since a crash is only known to lie between two of them. */
     private static final long HARMLESS_MARGIN_MS = 2_000;
 
-    /** A worker is as likely to fall silent again for about as long as partitions of single workers last. */
+    /** For so long after an unanswered order, gangs avoid the worker; about as long as partitions of single workers last. */
     private static final long RECENTLY_SILENT_MS = 10_000;
 
     final WorkerRecord record;
--- a/graph/src/main/java/org/lovagegrade/graph/planning/CapacityHold.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/CapacityHold.java
@@ -2,7 +2,7 @@
 
 import org.lovagegrade.graph.machine.ResourceVector;
 
-/** Capacity of one worker that is held for a gang from a time on; other runs may use it before, or what is left over. */
+/** Capacity of one worker that is held for a gang from a time on. Other runs may use all of it before, and the rest after. */
 final class CapacityHold {
     private final int priority;
     private final long fromMs;
@@ -21,6 +21,7 @@
         this.leftOver = leftOver;
     }
 
+    /** Whether work of a priority that ends at {@code endMs} could delay the gang. */
     boolean binds(int otherPriority, long endMs) {
         return otherPriority >= priority && endMs > fromMs;
     }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/GangRequest.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/GangRequest.java
@@ -22,6 +22,7 @@
         return limit <= 0 ? members : Math.min(members, Math.max(0, limit - worker.tasksOf(step.name())));
     }
 
+    /** Whether a worker is neither held for another gang nor isolated for another job. */
     boolean maySelect(CandidateWorker worker) {
         boolean isIsolatedForOther =
                 worker.isIsolated() && !worker.isIsolatedFor(step.job().id());
--- a/graph/src/main/java/org/lovagegrade/graph/planning/GangReservations.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/GangReservations.java
@@ -24,10 +24,10 @@
     private static final long RETRY_INTERVAL_MS = 500;
 
     private final Consumer<GangReservation> onReserved;
-    private final Map<String, Held> heldByStep = new HashMap<>();
+    private final Map<String, Period> periodsByStep = new HashMap<>();
 
-    /** A reservation with its bounds, or a pause without one. */
-    private record Held(Optional<GangReservation> reservation, long sinceMs, long untilMs) {}
+    /** The time for which a gang holds workers, or must hold none if there is no reservation. */
+    private record Period(Optional<GangReservation> reservation, long sinceMs, long untilMs) {}
 
     /**
      * Creates an empty set of reservations.
@@ -40,18 +40,20 @@
 
     /** Ends the reservation of a gang, since it is placed. */
     void release(String step) {
-        heldByStep.remove(step);
+        periodsByStep.remove(step);
     }
 
-    /** Whether a gang may hold nothing now, since it did for long, or since it fits nowhere. */
+    /** Whether a gang may hold nothing now, since its last hold was used up, or since it fits nowhere. */
     boolean isPaused(String step, long nowMs) {
-        Held held = heldByStep.get(step);
-        return held != null && held.reservation.isEmpty() && nowMs < held.untilMs;
+        Period period = periodsByStep.get(step);
+        return period != null && period.reservation.isEmpty() && nowMs < period.untilMs;
     }
 
-    /** Drops what has ended long ago; such gangs are no longer waiting. */
+    /** Removes the periods of gangs that no longer wait: those that ended more than their own length ago. */
     void removeExpired(long nowMs) {
-        heldByStep.values().removeIf(held -> nowMs - held.untilMs > held.untilMs - held.sinceMs + RETRY_INTERVAL_MS);
+        periodsByStep
+                .values()
+                .removeIf(period -> nowMs - period.untilMs > period.untilMs - period.sinceMs + RETRY_INTERVAL_MS);
     }
 
     /**
@@ -64,27 +66,28 @@
      */
     boolean hold(GangRequest gang, List<CandidateWorker> eligible, long nowMs) {
         String step = gang.step().name();
-        Held held = heldByStep.get(step);
-        if (held != null && nowMs >= held.untilMs) {
-            heldByStep.remove(step);
-            boolean hasHeld = held.reservation.isPresent();
+        Period period = periodsByStep.get(step);
+        if (period != null && nowMs >= period.untilMs) {
+            periodsByStep.remove(step);
+            boolean hasHeld = period.reservation.isPresent();
             if (hasHeld) {
-                pause(step, nowMs, held.untilMs - held.sinceMs);
+                pause(step, nowMs, period.untilMs - period.sinceMs);
                 return false;
             }
-            held = null;
+            period = null;
         }
-        if (held != null && holdAgain(held.reservation.get(), gang, eligible)) {
+        if (period != null && applyHolds(period.reservation.get(), gang, eligible)) {
             return true;
         }
-        return holdAnew(gang, eligible, nowMs, held);
+        return reserve(gang, eligible, nowMs, period);
     }
 
     private void pause(String step, long nowMs, long durationMs) {
-        heldByStep.put(step, new Held(Optional.empty(), nowMs, nowMs + durationMs));
+        periodsByStep.put(step, new Period(Optional.empty(), nowMs, nowMs + durationMs));
     }
 
-    private boolean holdAgain(GangReservation reservation, GangRequest gang, List<CandidateWorker> eligible) {
+    /** Sets the holds on the reserved workers, unless one of them is gone or held for another gang. */
+    private boolean applyHolds(GangReservation reservation, GangRequest gang, List<CandidateWorker> eligible) {
         Map<String, CandidateWorker> workersById = eligible.stream()
                 .filter(gang::maySelect)
                 .filter(worker -> reservation.membersByWorker().containsKey(worker.id()))
@@ -100,7 +103,7 @@
     }
 
     /** Reserves workers; when a worker of an earlier reservation was lost, the bound of that one stays in force. */
-    private boolean holdAnew(GangRequest gang, List<CandidateWorker> eligible, long nowMs, Held former) {
+    private boolean reserve(GangRequest gang, List<CandidateWorker> eligible, long nowMs, Period former) {
         String step = gang.step().name();
         Optional<GangReservation> reservation = GangStartPrediction.earliest(gang, eligible, nowMs);
         if (reservation.isEmpty()) {
@@ -108,9 +111,9 @@
             return false;
         }
         long untilMs = former == null ? untilMs(reservation.get(), nowMs) : former.untilMs;
-        heldByStep.put(step, new Held(reservation, former == null ? nowMs : former.sinceMs, untilMs));
+        periodsByStep.put(step, new Period(reservation, former == null ? nowMs : former.sinceMs, untilMs));
         onReserved.accept(reservation.get());
-        return holdAgain(reservation.get(), gang, eligible);
+        return applyHolds(reservation.get(), gang, eligible);
     }
 
     private static long untilMs(GangReservation reservation, long nowMs) {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/GangStartPrediction.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/GangStartPrediction.java
@@ -15,7 +15,7 @@
     private final long nowMs;
     private final List<Growth> growths = new ArrayList<>();
 
-    /** A worker that can take more members from a time on. */
+    /** A worker that can take {@code members} members in all from a time on, which is more than before. */
     private record Growth(CandidateWorker worker, long atMs, int members) {}
 
     private GangStartPrediction(GangRequest gang, long nowMs) {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
@@ -6,8 +6,8 @@
 import org.lovagegrade.wire.proto.AdviceCostProto;
 
 /**
- * Which workers a question names, so that the adviser's time yields as much as possible. Naming another worker costs a
- * little; naming too few costs a second question.
+ * The workers that a question names, chosen for the highest yield per ms of the adviser's time. Another worker costs
+ * {@code per_worker_ms}; too few workers cost a second question with its fixed cost.
  *
  * @param options the workers to name
  * @param yield the expected fraction of the wanted tasks that the answer lets start; of a gang, the probability that all
@@ -17,7 +17,7 @@
 record QuestionScope(List<TicketOption> options, double yield, double costMs) {
     /** An adviser accepts at most this many workers in a request. */
     private static final int MAX_WORKERS = 100;
-    /** Workers are named for as little as this fraction of the fixed cost, in case others take the first ones. */
+    /** Workers that cost up to this fraction of the fixed cost are added, in case the first ones are used by other steps. */
     private static final double CHEAP_SHARE = 0.1;
 
     private static final double ALMOST_CERTAIN = 0.99;
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -16,7 +16,7 @@
  * question will probably use isn't counted on for the questions after it.
  */
 final class TicketRequests {
-    /** More questions of a priority than this wait too long to be worth choosing. */
+    /** Further questions of a priority would wait so long that later plans replace them before they are sent. */
     private static final int MAX_REQUESTS_PER_PRIORITY = 32;
     /** After so many steps without a worthwhile question, only steps with smaller tasks are examined. */
     private static final int MAX_MISSES = 16;
@@ -26,7 +26,7 @@
     private static final double LEARN_AHEAD_COST_MS = 50;
     /** A gang isn't asked about if its members fit on the allowed workers with a lower probability. */
     private static final double MIN_GANG_LIKELIHOOD = 0.5;
-    /** A gang renews its tickets once this fraction of its members fits: the rest is about to. */
+    /** A gang renews its tickets once this fraction of its members fits, since the rest will probably fit soon. */
     private static final double NEARLY_FITS = 0.75;
     /** A gang renews tickets for this many times the workers that it needs, since others may become free first. */
     private static final double RENEWAL_MARGIN = 1.5;
@@ -127,7 +127,13 @@
         return new MissKey(demand.queue().getName(), demand.step().spec().getRequiredLabel(), isGang(demand));
     }
 
-    /** Requests tickets for one task on any of the given workers, unless a question about its step is pending or requested. */
+    /**
+     * Requests tickets for one task on any of the given workers, unless a question about its step is pending or requested.
+     *
+     * @param demand the step
+     * @param workers the workers, none of which has a valid ticket
+     * @param isKnown whether the adviser has allowed these workers before
+     */
     void requestAny(StepDemand demand, List<CandidateWorker> workers, boolean isKnown) {
         String step = demand.step().name();
         boolean isRequested =
--- a/graph/src/test/java/org/lovagegrade/graph/client/UnreportedResultsTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/client/UnreportedResultsTest.java
@@ -15,9 +15,9 @@
         @Test
         void shouldKeepResultWithItsAge() {
             results.add(AdviceResultProto.newBuilder().setNumber(7).build(), 1_000);
-            results.at(1_000);
+            results.withAges(1_000);
 
-            assertThat(results.at(2_500))
+            assertThat(results.withAges(2_500))
                     .containsExactly(AdviceResultProto.newBuilder()
                             .setNumber(7)
                             .setAgeMs(1_500)
@@ -29,7 +29,7 @@
         void shouldDropOldResult() {
             results.add(AdviceResultProto.newBuilder().setNumber(7).build(), 1_000);
 
-            assertThat(results.at(6_001)).isEmpty();
+            assertThat(results.withAges(6_001)).isEmpty();
         }
     }
 }
