--- a/cli/src/main/java/org/lovagegrade/cli/load/JobOutcome.java
+++ b/cli/src/main/java/org/lovagegrade/cli/load/JobOutcome.java
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Reads the outcome of a job over.
+     * Reads the outcome from the fields of a {@code jobOver} line.
      *
      * @param result the field {@code result}; empty in the lines of builds before it was added
      * @param state the field {@code state}
--- a/cli/src/main/java/org/lovagegrade/cli/load/LoadOutput.java
+++ b/cli/src/main/java/org/lovagegrade/cli/load/LoadOutput.java
@@ -50,7 +50,7 @@
         session.printText("");
     }
 
-    /** The group first, then its figures. */
+    /** The column of the group's name first, then those of its figures. */
     private static String[] columnsInOrder(Grouping grouping, Set<String> columns) {
         Set<String> ordered = new LinkedHashSet<>();
         ordered.add(grouping.text());
--- a/cli/src/main/java/org/lovagegrade/cli/load/Section.java
+++ b/cli/src/main/java/org/lovagegrade/cli/load/Section.java
@@ -8,9 +8,9 @@
     JOBS("jobs", 1),
     /** Refused submissions by reason. */
     REFUSED("refused", 1),
-    /** Core-seconds of runs, by the outcome of their job. */
+    /** Work of runs by the outcome of their job; added in core-milliseconds, printed in core-seconds. */
     CAPACITY("coreSeconds", 1_000),
-    /** Core-seconds of runs without a result, by cause. */
+    /** Work of runs without a result by cause; added in core-milliseconds, printed in core-seconds. */
     WASTE("wastedCoreSeconds", 1_000),
     /** Questions to the adviser. */
     ADVISER("adviser", 1);
--- a/state/src/main/java/org/lovagegrade/state/scheduling/SubmissionControl.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/SubmissionControl.java
@@ -39,19 +39,23 @@
     private final long wallOffsetMs;
     private final Backlog backlog = new Backlog();
     private final ServiceRate rate = new ServiceRate();
-    private final Map<String, WaitingJob> jobs = new HashMap<>();
+    private final Map<String, UnfinishedJob> jobs = new HashMap<>();
     private final Map<String, Long> observedRunMsByClass = new HashMap<>();
     private final Map<Attempt, Long> placedAtMs = new HashMap<>();
     private final Map<Attempt, Long> milliCoresOfServices = new HashMap<>();
     private long serviceMilliCores;
-    private long leftCoreMs;
+    /** The work that was placed since the last tick, in core-milliseconds. */
+    private long placedCoreMs;
 
     /** An unfinished job, and the numbers of its tasks that wait and that are placed. */
-    private record WaitingJob(
+    private record UnfinishedJob(
             JobSpecProto spec, WorkClassProto workClass, long submittedAtMs, int waitingTasks, int placedTasks) {
-        /** Tasks of a gang that ended wait again without a decision if another member is lost. */
-        WaitingJob with(int waitingMore, int placedMore) {
-            return new WaitingJob(
+        /**
+         * Adds to the numbers of tasks. They don't fall below 0: ended tasks of a gang wait again without a decision if another
+         * member is lost.
+         */
+        UnfinishedJob with(int waitingMore, int placedMore) {
+            return new UnfinishedJob(
                     spec,
                     workClass,
                     submittedAtMs,
@@ -90,7 +94,7 @@
         if (isKnown || workClass == null) {
             return Optional.empty();
         }
-        WaitingJob job = new WaitingJob(spec, workClass, wallMs(nowMs), spec.getTasks(), 0);
+        UnfinishedJob job = new UnfinishedJob(spec, workClass, wallMs(nowMs), spec.getTasks(), 0);
         if (mayBeRefused(job)) {
             WorkItem item = item(job, objective(job));
             rate.setCapacity(usableMilliCores());
@@ -111,7 +115,7 @@
         if (workClass == null) {
             return;
         }
-        WaitingJob job = new WaitingJob(spec, workClass, wallMs(submittedAtMs), waitingTasks, assigned.size());
+        UnfinishedJob job = new UnfinishedJob(spec, workClass, wallMs(submittedAtMs), waitingTasks, assigned.size());
         assigned.forEach(attempt -> countService(attempt, job));
         update(job);
     }
@@ -149,27 +153,27 @@
         }
     }
 
-    /** Measures the rate at which work leaves; to be called regularly. */
+    /** Measures the rate at which waiting work is placed; to be called regularly. */
     void tick(long nowMs) {
         boolean[] waitsForCapacity = new boolean[1];
         scheduler.view().forEachWorkspace(workspace -> waitsForCapacity[0] |= workspace.waitsForCapacity());
         rate.setCapacity(usableMilliCores());
-        rate.left(leftCoreMs, waitsForCapacity[0], wallMs(nowMs));
-        leftCoreMs = 0;
+        rate.left(placedCoreMs, waitsForCapacity[0], wallMs(nowMs));
+        placedCoreMs = 0;
     }
 
     private void placed(Attempt attempt, long nowMs) {
-        WaitingJob job = jobs.get(attempt.job());
+        UnfinishedJob job = jobs.get(attempt.job());
         if (job == null) {
             return;
         }
         placedAtMs.put(attempt, nowMs);
-        leftCoreMs += coreMs(job, 1);
+        placedCoreMs += coreMs(job, 1);
         countService(attempt, job);
         update(job.with(-1, 1));
     }
 
-    private void countService(Attempt attempt, WaitingJob job) {
+    private void countService(Attempt attempt, UnfinishedJob job) {
         if (job.isService()) {
             long milliCores = job.spec().getPerTask().getMilliCores();
             milliCoresOfServices.put(attempt, milliCores);
@@ -181,7 +185,7 @@
         Long startMs = placedAtMs.remove(attempt);
         Long milliCores = milliCoresOfServices.remove(attempt);
         serviceMilliCores -= milliCores == null ? 0 : milliCores;
-        WaitingJob job = jobs.get(attempt.job());
+        UnfinishedJob job = jobs.get(attempt.job());
         if (job == null) {
             return;
         }
@@ -191,13 +195,13 @@
         update(job.with(isCompleted ? 0 : 1, -1));
     }
 
-    private void observe(WaitingJob job, long runMs) {
+    private void observe(UnfinishedJob job, long runMs) {
         String workClass = job.spec().getWorkClass();
         rate.ratios().completed(workClass, job.spec().getDeclaredRunMs(), runMs);
         observedRunMsByClass.merge(workClass, runMs, (mean, latest) -> mean + (latest - mean) / OBSERVED_RUNS);
     }
 
-    private void update(WaitingJob job) {
+    private void update(UnfinishedJob job) {
         if (job.isFinished()) {
             forget(job.spec().getId());
             return;
@@ -216,11 +220,11 @@
         backlog.remove(job);
     }
 
-    private boolean mayBeRefused(WaitingJob job) {
+    private boolean mayBeRefused(UnfinishedJob job) {
         return job.workClass().hasWaitTargetMs() && !job.isService() && runMs(job) > 0;
     }
 
-    private WorkItem item(WaitingJob job, Objective objective) {
+    private WorkItem item(UnfinishedJob job, Objective objective) {
         JobSpecProto spec = job.spec();
         RemainingWork work = RemainingWork.of(runMs(job), coreMs(job, job.waitingTasks()));
         return WorkItem.of(
@@ -231,7 +235,7 @@
                 job.workClass().getKind() == ClassKindProto.GANG ? work.asGang(spec.getTasks()) : work);
     }
 
-    private Objective objective(WaitingJob job) {
+    private Objective objective(UnfinishedJob job) {
         return Objective.within(job.workClass().getWaitTargetMs() + runMs(job)).from(job.submittedAtMs());
     }
 
@@ -243,7 +247,7 @@
     }
 
     /** The expected run time of a task, in milliseconds; 0 if it is unknown. */
-    private long runMs(WaitingJob job) {
+    private long runMs(UnfinishedJob job) {
         String workClass = job.spec().getWorkClass();
         long declaredMs = job.spec().getDeclaredRunMs();
         return declaredMs > 0
@@ -251,7 +255,7 @@
                 : observedRunMsByClass.getOrDefault(workClass, 0L);
     }
 
-    private long coreMs(WaitingJob job, int tasks) {
+    private long coreMs(UnfinishedJob job, int tasks) {
         return runMs(job) * job.spec().getPerTask().getMilliCores() * tasks / MILLI_CORES_PER_CORE;
     }
 
@@ -264,7 +268,7 @@
         return nowMs + wallOffsetMs;
     }
 
-    private void logRefusal(WaitingJob job, AdmissionDecision.Refused refused) {
+    private void logRefusal(UnfinishedJob job, AdmissionDecision.Refused refused) {
         Log.event("submissionRefused")
                 .with("job", job.spec().getId())
                 .with("team", job.spec().getWorkspace())
