--- a/state/src/main/java/org/lovagegrade/state/scheduling/SubmissionControl.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/SubmissionControl.java
@@ -269,7 +269,7 @@
     }
 
     private void logRefusal(UnfinishedJob job, AdmissionDecision.Refused refused) {
-        Log.event("submissionRefused")
+        Log.event("jobRefusedForLoad")
                 .with("job", job.spec().getId())
                 .with("team", job.spec().getWorkspace())
                 .with("class", job.spec().getWorkClass())
