Stop runs for more urgent tasks that would miss their objective

Urgent tasks waited for the end of longer runs of lower priority. Gangs count whole, the loss is bounded by the work of the tasks, and a task is stopped at most once within its objective. A stopped run's capacity is used after the commit of its end only. How long stops take is measured.

PreemptionFuzzTest found that a new leader starts runs beyond the capacity of a worker that shrank out of a leader's contact, with and without preemption: it takes the last report to be at most one heartbeat old.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -33,6 +33,7 @@
     private final Clock wallClock;
     private final Metrics metrics;
     private final PlanOrder planOrder;
+    private final boolean preempts;
     private Leadership leadership;
     private GraphLeader leader;
     private CallerRequestHandler callerHandler;
@@ -47,6 +48,7 @@
      * @param wallClock the time of day
      * @param metrics counts refusals
      * @param planOrder the order in which steps are placed on workers
+     * @param preempts whether runs may be stopped for more urgent work
      */
     public GraphApplication(
             WorkerLink link,
@@ -55,7 +57,8 @@
             Clock clock,
             Clock wallClock,
             Metrics metrics,
-            PlanOrder planOrder) {
+            PlanOrder planOrder,
+            boolean preempts) {
         this.machine = GraphStateMachine.withRetention(endedJobRetentionMs);
         this.link = link;
         this.timings = timings;
@@ -63,6 +66,7 @@
         this.wallClock = wallClock;
         this.metrics = metrics;
         this.planOrder = planOrder;
+        this.preempts = preempts;
     }
 
     @Override
@@ -99,7 +103,8 @@
                         DriverSafeguards.allEnabled()),
                 newLeadership.term(),
                 nowMs);
-        leader = new GraphLeader(machine, driver, this::proposeWithoutReply, clock, wallClock, planOrder, metrics);
+        leader = new GraphLeader(
+                machine, driver, this::proposeWithoutReply, clock, wallClock, planOrder, preempts, metrics);
         callerHandler = new CallerRequestHandler(machine, this::proposeWithReply, metrics);
         machine.setListener(leader);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -32,6 +32,7 @@
 import org.lovagegrade.graph.planning.StepDemand;
 import org.lovagegrade.graph.planning.Urgency;
 import org.lovagegrade.graph.planning.WorkspaceQuotas;
+import org.lovagegrade.graph.preemption.StopDecision;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
@@ -55,17 +56,22 @@
 
     private static final long STALL_CHECK_INTERVAL_MS = 250;
 
+    private static final String STOPPED_RUNS = "lovagegrade_stopped_runs";
+
     private final GraphStateMachine machine;
     private final WorkerDriver driver;
     private final CommandProposer proposer;
     private final Clock clock;
     private final Clock wallClock;
     private final PlanOrder planOrder;
+    private final Metrics metrics;
     private final AdviceBroker adviceBroker = new AdviceBroker();
     private final WorkerHealth health = new WorkerHealth();
     private final CrashingJobs crashingJobs;
     private final RunTimes runTimes = new RunTimes();
     private final LeavingWorkers leavingWorkers;
+    private final StopTimes stopTimes;
+    private final Optional<Preemptor> preemptor;
     private final GangReservations gangReservations = new GangReservations(this::logReservation);
     /** Starts that were proposed to the log and are not committed yet. */
     private final Map<RunKey, Placement> proposedStarts = new HashMap<>();
@@ -83,6 +89,7 @@
             Clock clock,
             Clock wallClock,
             PlanOrder planOrder,
+            boolean preempts,
             Metrics metrics) {
         this.machine = machine;
         this.driver = driver;
@@ -92,6 +99,9 @@
         this.planOrder = planOrder;
         this.crashingJobs = new CrashingJobs(proposer, metrics);
         this.leavingWorkers = new LeavingWorkers(driver.timings(), runTimes);
+        this.stopTimes = new StopTimes(driver.timings().stopMs());
+        this.preemptor = preempts ? Optional.of(new Preemptor(runTimes, stopTimes, machine::queue)) : Optional.empty();
+        this.metrics = metrics.declare(STOPPED_RUNS, StopCause.class);
         long nowMs = clock.nowMs();
         machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
     }
@@ -122,6 +132,7 @@
                     .with("worker", run.worker())
                     .warn();
             health.runStalled(run.worker(), run.key().task(), nowMs);
+            metrics.count(STOPPED_RUNS, StopCause.STALLED);
             driver.requestStop(run, nowMs);
             dirty = true;
         }
@@ -134,6 +145,7 @@
                     .with("run", run.key().toString())
                     .with("worker", run.worker())
                     .info();
+            metrics.count(STOPPED_RUNS, StopCause.WORKER_LEAVES);
             driver.requestStop(run, nowMs);
         }
     }
@@ -231,6 +243,11 @@
                     .map(tracker -> tracker.wholeRunMs(clock.nowMs()))
                     .ifPresent(tookMs -> tookMs.ifPresent(known -> runTimes.record(run.step(), known)));
         }
+        if (how == RunEndProto.RUN_STOPPED) {
+            driver.tracker(run)
+                    .map(tracker -> tracker.stopTookMs(clock.nowMs()))
+                    .ifPresent(tookMs -> tookMs.ifPresent(stopTimes::record));
+        }
         driver.runEnded(run, how);
         dirty = true;
         if (how == RunEndProto.RUN_DONE) {
@@ -252,6 +269,7 @@
         long nowMs = clock.nowMs();
         for (RunRecord run : List.copyOf(lost.step().runs())) {
             if (run.key().run() == lost.key().run()) {
+                metrics.count(STOPPED_RUNS, StopCause.GANG_BROKEN);
                 driver.requestStop(run, nowMs);
             }
         }
@@ -320,9 +338,9 @@
         if (demands.isEmpty()) {
             return;
         }
-        Plan plan = new Planner(
-                        candidateWorkers(nowMs), adviceLookup(nowMs), quotas(), gangReservations, runTimes, nowMs)
-                .plan(demands);
+        List<CandidateWorker> workers = candidateWorkers(nowMs);
+        Plan plan =
+                new Planner(workers, adviceLookup(nowMs), quotas(), gangReservations, runTimes, nowMs).plan(demands);
         for (AdviceRequest adviceRequest : plan.adviceRequests()) {
             Log.event("adviceWanted")
                     .with("step", adviceRequest.step())
@@ -339,6 +357,27 @@
         if (!plan.placements().isEmpty()) {
             propose(plan.placements());
         }
+        preemptor.ifPresent(present -> preempt(present, plan, workers, nowMs));
+    }
+
+    /** Stops runs for more urgent tasks that found no capacity. */
+    private void preempt(Preemptor present, Plan plan, List<CandidateWorker> workers, long nowMs) {
+        List<StopDecision> decisions =
+                present.decide(plan.unplaced(), workers, driver.sessions(), nowMs, wallClock.nowMs());
+        for (StopDecision decision : decisions) {
+            for (RunKey key : decision.runs()) {
+                RunRecord run = machine.runs().get(key);
+                Log.event("runPreempted")
+                        .with("run", key.toString())
+                        .with("worker", run.worker())
+                        .with("for", decision.step())
+                        .with("lostCoreMs", decision.lostCoreMs())
+                        .info();
+                metrics.count(STOPPED_RUNS, StopCause.PREEMPTED);
+                present.runStopped(run, nowMs);
+                driver.requestStop(run, nowMs);
+            }
+        }
     }
 
     private void logReservation(GangReservation reservation) {
@@ -481,7 +520,7 @@
             RunTracker tracker = session.runs.get(run.key());
             long endMs = tracker == null
                     ? CapacityRelease.endOf(nowMs, expectedMs)
-                    : tracker.expectedEndMs(expectedMs, nowMs, driver.timings().stopMs());
+                    : tracker.expectedEndMs(expectedMs, nowMs, stopTimes.expectedMs());
             releases.add(new CapacityRelease(run.step().perTask(), endMs));
         }
         return releases;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -58,6 +58,8 @@
     /** When the worker first confirmed that the run exists there. */
     private long existsSinceMs = NEVER_SEEN;
 
+    private long stopRequestedMs = NEVER_SEEN;
+
     private int percent = -1;
     private long percentSinceMs;
     private int firstPercent = -1;
@@ -110,6 +112,27 @@
         noProgressMs = nowMs - percentSinceMs;
     }
 
+    /** For how long the run is known to exist, in milliseconds; 0 before its worker has confirmed it. */
+    long knownForMs(long nowMs) {
+        return existsSinceMs == NEVER_SEEN ? 0 : nowMs - existsSinceMs;
+    }
+
+    boolean isTakenOver() {
+        return isTakenOver;
+    }
+
+    void requestStop(long nowMs) {
+        if (!stopRequested) {
+            stopRequested = true;
+            stopRequestedMs = nowMs;
+        }
+    }
+
+    /** How long the stop has taken, in milliseconds; empty if this leader has not requested one. */
+    OptionalLong stopTookMs(long nowMs) {
+        return stopRequestedMs == NEVER_SEEN ? OptionalLong.empty() : OptionalLong.of(nowMs - stopRequestedMs);
+    }
+
     /** How long the run has taken from its first start to now, in milliseconds, if both are known. */
     OptionalLong wholeRunMs(long nowMs) {
         boolean isKnown =
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -268,7 +268,7 @@
         WorkerSession session = sessions.get(run.worker());
         RunTracker tracker = session == null ? null : session.runs.get(run.key());
         if (tracker != null) {
-            tracker.stopRequested = true;
+            tracker.requestStop(nowMs);
             orderSender.sendIfDue(session, tracker, nowMs);
         }
     }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
@@ -108,14 +108,34 @@
         runningReleases = releases;
     }
 
-    /** The expected ends of all runs, the earliest first. Capacity that no known run holds is not released. */
-    List<CapacityRelease> releases() {
+    /**
+     * The expected ends of all runs, the earliest first. Capacity that no known run holds is not released.
+     *
+     * @return the ends
+     */
+    public List<CapacityRelease> releases() {
         List<CapacityRelease> all = new ArrayList<>(runningReleases.get());
         all.addAll(startReleases);
         all.sort(Comparator.comparingLong(CapacityRelease::atMs));
         return all;
     }
 
+    /**
+     * Predicts the free resources by the expected ends of the runs.
+     *
+     * @param atMs the time, on the monotonic clock in milliseconds
+     * @return the resources that will be free then if nothing else starts
+     */
+    public ResourceVector freeAt(long atMs) {
+        ResourceVector freeThen = free;
+        for (CapacityRelease release : releases()) {
+            if (release.atMs() <= atMs) {
+                freeThen = freeThen.plus(release.amount());
+            }
+        }
+        return freeThen;
+    }
+
     /** Marks this worker as one that failed, stalled or was silent lately, which gangs avoid. */
     public void markUnreliable() {
         isUnreliable = true;
@@ -134,7 +154,12 @@
         isolatedJob = job;
     }
 
-    boolean isIsolated() {
+    /**
+     * Whether only one job may use this worker.
+     *
+     * @return true if a run of that job may crash the worker
+     */
+    public boolean isIsolated() {
         return !isolatedJob.isEmpty();
     }
 
@@ -156,6 +181,10 @@
         return hold != null;
     }
 
+    boolean isHeldAgainst(int priority) {
+        return hold != null && hold.binds(priority, CapacityRelease.NEVER);
+    }
+
     /** How many of {@code max} runs don't delay the gang for which capacity is held. */
     int fittingBesideHold(ResourceVector need, int priority, long endMs, int max) {
         return hold.binds(priority, endMs) ? hold.fitting(need, max) : max;
--- a/graph/src/main/java/org/lovagegrade/graph/planning/GangReservations.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/GangReservations.java
@@ -128,8 +128,7 @@
         }
         ResourceVector leftOver = gang.needsEmptyWorkers()
                 ? ResourceVector.NONE
-                : GangStartPrediction.freeAt(worker, reservation.startMs())
-                        .minus(gang.perTask().times(members));
+                : worker.freeAt(reservation.startMs()).minus(gang.perTask().times(members));
         return new CapacityHold(gang.priority(), reservation.startMs(), leftOver);
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -40,6 +40,7 @@
     private final WorkspaceQuotas quotas;
     private final List<Placement> placements = new ArrayList<>();
     private final List<AdviceRequest> adviceRequests = new ArrayList<>();
+    private final List<UnplacedTasks> unplacedTasks = new ArrayList<>();
     private final Isolation isolation;
     private final GangReservations reservations;
     private final RunTimes runTimes;
@@ -89,7 +90,7 @@
             }
         }
         reservations.removeExpired(nowMs);
-        return new Plan(List.copyOf(placements), List.copyOf(adviceRequests));
+        return new Plan(List.copyOf(placements), List.copyOf(adviceRequests), List.copyOf(unplacedTasks));
     }
 
     // --- single tasks
@@ -117,8 +118,10 @@
             }
             place(demand, index, demand.step().tasks().get(index).run() + 1, selected.get());
         }
-        if (unplaced > 0 && demand.needsTicket()) {
-            requestAdvice(demand, candidates, unplaced);
+        boolean waitsForTicketOnly =
+                unplaced > 0 && demand.needsTicket() && requestAdvice(demand, candidates, unplaced);
+        if (unplaced > 0 && !waitsForTicketOnly) {
+            noteUnplaced(demand, candidates, unplaced);
         }
     }
 
@@ -231,6 +234,9 @@
         boolean waitsForTicketOnly = demand.needsTicket() && requestAdvice(demand, candidates, members);
         if (!waitsForTicketOnly) {
             reserve(demand, candidates, members);
+            if (!isSuspect) {
+                noteUnplaced(demand, candidates, members);
+            }
         }
     }
 
@@ -379,6 +385,12 @@
         }
     }
 
+    private void noteUnplaced(StepDemand demand, Candidates candidates, int tasks) {
+        if (demand.urgency() == Urgency.IN_TIME) {
+            unplacedTasks.add(new UnplacedTasks(demand, tasks, candidates.allowed, candidates.stale));
+        }
+    }
+
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
         ResourceVector need = demand.step().perTask();
         worker.addStart(demand.step(), endMs(demand.step()));
--- a/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
@@ -38,7 +38,12 @@
         return waiting.stream().anyMatch(isSuspect::test);
     }
 
-    int priority() {
+    /**
+     * The priority of the queue.
+     *
+     * @return the number, 0 for the highest priority
+     */
+    public int priority() {
         return queue.getPriority();
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
@@ -33,15 +33,43 @@
      * @return the urgency
      */
     public static Urgency of(JobRecord job, int occurrence, QueueProto queue, long dueAtMs, long nowMs) {
-        List<StepRecord> steps = job.occurrences().get(occurrence);
-        double objectiveMs = queue.getSlackFactor() * criticalPathMs(steps, false) + queue.getCompletionTargetMs();
-        double expectedMs = nowMs - dueAtMs + criticalPathMs(steps, true);
+        double objectiveMs = objectiveMs(job, occurrence, queue);
+        double expectedMs = objectiveMs - slackMs(job, occurrence, queue, dueAtMs, nowMs);
         if (expectedMs <= objectiveMs) {
             return IN_TIME;
         }
         return expectedMs <= objectiveMs * USEFUL_FACTOR ? LATE : OVERDUE;
     }
 
+    /**
+     * Determines the objective of an occurrence.
+     *
+     * @param job the job
+     * @param occurrence the number of the occurrence, from 0
+     * @param queue the job's queue
+     * @return how long the occurrence may take from its due time, in milliseconds
+     */
+    public static double objectiveMs(JobRecord job, int occurrence, QueueProto queue) {
+        return queue.getSlackFactor() * criticalPathMs(job.occurrences().get(occurrence), false)
+                + queue.getCompletionTargetMs();
+    }
+
+    /**
+     * Determines how long an occurrence can wait and still meet its objective by the estimates of its unfinished steps.
+     *
+     * @param job the job
+     * @param occurrence the number of the occurrence, from 0
+     * @param queue the job's queue
+     * @param dueAtMs when the occurrence became due, in milliseconds since 1970
+     * @param nowMs the present time, in milliseconds since 1970
+     * @return the time in milliseconds, negative if the objective will be missed
+     */
+    public static double slackMs(JobRecord job, int occurrence, QueueProto queue, long dueAtMs, long nowMs) {
+        return objectiveMs(job, occurrence, queue)
+                - (nowMs - dueAtMs)
+                - criticalPathMs(job.occurrences().get(occurrence), true);
+    }
+
     /** The critical path by the steps' estimates, in milliseconds, optionally without the steps that are done. */
     private static long criticalPathMs(List<StepRecord> steps, boolean onlyUnfinished) {
         long[] finishMs = new long[steps.size()];
