Keep room for urgent tasks that are about to arrive

Urgent tasks found the room that ended runs had left taken by longer work, and needed stops that come too late for short objectives. Work that ends within the time that urgent tasks can wait may use them.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -72,6 +72,7 @@
     private final LeavingWorkers leavingWorkers;
     private final StopTimes stopTimes;
     private final Optional<Preemptor> preemptor;
+    private final Optional<UrgentRoom> urgentRoom;
     private final GangReservations gangReservations = new GangReservations(this::logReservation);
     /** Starts that were proposed to the log and are not committed yet. */
     private final Map<RunKey, Placement> proposedStarts = new HashMap<>();
@@ -103,6 +104,7 @@
         this.preemptor = preempts ? Optional.of(new Preemptor(runTimes, stopTimes, machine::queue)) : Optional.empty();
         this.metrics = metrics.declare(STOPPED_RUNS, StopCause.class);
         long nowMs = clock.nowMs();
+        this.urgentRoom = preempts ? Optional.of(new UrgentRoom(machine, runTimes, nowMs)) : Optional.empty();
         machine.workers().values().forEach(worker -> driver.takeOver(worker, nowMs));
     }
 
@@ -226,6 +228,7 @@
         proposedStarts.remove(run.key());
         long nowMs = clock.nowMs();
         String step = run.step().name();
+        urgentRoom.ifPresent(present -> present.runStarted(run));
         driver.runStarted(run, adviceBroker.ticket(step, run.worker()), nowMs);
         dirty = true;
     }
@@ -248,6 +251,7 @@
                     .map(tracker -> tracker.stopTookMs(clock.nowMs()))
                     .ifPresent(tookMs -> tookMs.ifPresent(stopTimes::record));
         }
+        urgentRoom.ifPresent(present -> present.runEnded(run));
         driver.runEnded(run, how);
         dirty = true;
         if (how == RunEndProto.RUN_DONE) {
@@ -283,6 +287,7 @@
     @Override
     public void jobAccepted(JobRecord job) {
         dirty = true;
+        urgentRoom.ifPresent(present -> present.jobAccepted(job, clock.nowMs()));
         Log.event("jobAccepted")
                 .with("job", job.id())
                 .with("queue", job.graph().getQueue())
@@ -321,6 +326,7 @@
     @Override
     public void configurationChanged() {
         dirty = true;
+        urgentRoom.ifPresent(UrgentRoom::configurationChanged);
         machine.configuration()
                 .ifPresent(configuration -> Log.event("documentInForce")
                         .with("version", configuration.proto().getVersion())
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.graph.planning;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -45,6 +46,7 @@
     private final GangReservations reservations;
     private final RunTimes runTimes;
     private final long nowMs;
+    private RoomGuard roomGuard = new RoomGuard(KeptRoom.NONE, List.of());
     private int gangsWithReservation;
     private int gangsConsidered;
 
@@ -74,6 +76,17 @@
         this.isolation = new Isolation(workers);
     }
 
+    /**
+     * Keeps room free for urgent tasks while this planner makes its plan.
+     *
+     * @param room the room
+     * @return this planner
+     */
+    public Planner keeping(KeptRoom room) {
+        roomGuard = new RoomGuard(room, workers);
+        return this;
+    }
+
     /**
      * Makes the plan.
      *
@@ -188,9 +201,14 @@
         ResourceVector need = demand.step().perTask();
         int limit = Math.min(max, remainingStepTasks(demand, worker));
         int fitting = limit <= 0 ? 0 : need.timesInto(worker.free(), limit);
-        return fitting > 0 && worker.isHeld()
-                ? worker.fittingBesideHold(need, demand.priority(), endMs(demand.step()), fitting)
-                : fitting;
+        if (fitting > 0 && worker.isHeld()) {
+            fitting = worker.fittingBesideHold(need, demand.priority(), endMs(demand.step()), fitting);
+        }
+        return fitting > 0 && isBoundByRoom(demand) ? roomGuard.allowed(worker, need, fitting, 0) : fitting;
+    }
+
+    private boolean isBoundByRoom(StepDemand demand) {
+        return roomGuard.binds(demand.priority()) && !roomGuard.endsInTime(runTimes.expectedMs(demand.step()));
     }
 
     private long endMs(StepRecord step) {
@@ -271,10 +289,16 @@
                         .thenComparingLong(room -> room.worker.free().milliCores()))
                 .toList();
         List<CandidateWorker> selected = new ArrayList<>();
+        boolean isBound = isBoundByRoom(demand);
+        ResourceVector need = demand.step().perTask();
+        int lost = 0;
         for (Room room : rooms) {
-            for (int count = 0; count < room.tasks && selected.size() < members; count++) {
-                selected.add(room.worker);
+            int tasks = Math.min(room.tasks, members - selected.size());
+            if (isBound) {
+                tasks = roomGuard.allowed(room.worker, need, tasks, lost);
+                lost += roomGuard.lost(room.worker, need.times(tasks));
             }
+            selected.addAll(Collections.nCopies(tasks, room.worker));
         }
         return selected;
     }
@@ -354,7 +378,10 @@
         List<CandidateWorker> selected = selectWorkers(demand, eligible, tasks);
         boolean isFeasible = demand.step().spec().getGang() ? selected.size() == tasks : !selected.isEmpty();
         if (isFeasible) {
-            selected.forEach(worker -> worker.allocate(demand.step().perTask()));
+            selected.forEach(worker -> roomGuard.allocating(
+                    worker,
+                    demand.priority(),
+                    () -> worker.allocate(demand.step().perTask())));
         }
         if (advice.isPending(demand.step().name())) {
             return isFeasible;
@@ -393,7 +420,7 @@
 
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
         ResourceVector need = demand.step().perTask();
-        worker.addStart(demand.step(), endMs(demand.step()));
+        roomGuard.allocating(worker, demand.priority(), () -> worker.addStart(demand.step(), endMs(demand.step())));
         quotas.allocate(workspace(demand), need);
         placements.add(new Placement(demand.step(), index, run, worker.info()));
     }
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -346,6 +346,85 @@
         }
     }
 
+    @Nested
+    final class RoomForUrgentTasks {
+        private static final ResourceVector URGENT = new ResourceVector(10_000, 0, 0);
+
+        private StepDemand tasks(String job, int priority, int count, long milliCores, long estimateMs) {
+            return demand(job, priority, false, step(count, milliCores).setEstimateMs(estimateMs));
+        }
+
+        private List<String> placed(int keptTasks, StepDemand... demands) {
+            Plan plan = new Planner(workers, advice, quotas, reservations, new RunTimes(), nowMs)
+                    .keeping(new KeptRoom(URGENT, keptTasks, 0, 750))
+                    .plan(List.of(demands));
+            return plan.placements().stream()
+                    .map(placement -> placement.step().job().id())
+                    .toList();
+        }
+
+        /** Guards against urgent tasks that find all room taken by work that takes long. */
+        @Test
+        void shouldBeLeftByLessUrgentTasks() {
+            addWorker("w1", 16_000, "r1", "a");
+            addWorker("w2", 16_000, "r1", "a");
+
+            assertThat(placed(1, tasks("wide", 2, 8, 7_000, 3_000))).hasSize(2);
+            assertThat(workers.stream().filter(worker -> worker.free().milliCores() == 16_000))
+                    .hasSize(1);
+        }
+
+        @Test
+        void shouldNotBeKeptWhileEnoughIsFree() {
+            addWorker("w1", 16_000, "r1", "a");
+            addWorker("w2", 16_000, "r1", "a");
+            addWorker("w3", 16_000, "r1", "a");
+
+            assertThat(placed(1, tasks("wide", 2, 2, 7_000, 3_000))).hasSize(2);
+        }
+
+        @Test
+        void shouldNotBeLeftByTasksThatFitOnlyBesideIt() {
+            addWorker("w1", 16_000, "r1", "a");
+
+            assertThat(placed(1, tasks("wide", 2, 8, 3_000, 3_000))).hasSize(2);
+        }
+
+        @Test
+        void shouldBeUsedByTasksThatEndInTimeAndByUrgentOnes() {
+            addWorker("w1", 16_000, "r1", "a");
+            addWorker("w2", 16_000, "r1", "a");
+
+            assertThat(placed(2, tasks("urgent", 0, 1, 10_000, 1_000), tasks("short", 2, 1, 10_000, 500)))
+                    .containsExactly("urgent", "short");
+        }
+
+        @Test
+        void shouldBeLeftByGangs() {
+            addWorker("w1", 16_000, "r1", "a");
+            addWorker("w2", 16_000, "r1", "a");
+            StepDemand gang =
+                    demand("gang", 1, false, step(4, 8_000).setGang(true).setEstimateMs(5_000));
+
+            assertThat(placed(1, gang)).isEmpty();
+        }
+
+        /** Guards against room that follows neither the arrivals nor what runs already. */
+        @Test
+        void shouldFollowTheMeasuredArrivals() {
+            Headroom headroom = new Headroom(0);
+            StepRecord step = demand("job", 0, false, step(3, 10_000)).step();
+            for (long atMs = 0; atMs < 5_000; atMs += 100) {
+                headroom.stepArrived(step, 1_000, 750, atMs);
+            }
+
+            assertThat(headroom.room(0, 0, 10_000_000, 5_000).tasks()).isEqualTo(49);
+            assertThat(headroom.room(0, 40, 10_000_000, 5_000).tasks()).isEqualTo(9);
+            assertThat(headroom.room(0, 0, 1_000_000, 5_000).tasks()).isEqualTo(15);
+            assertThat(headroom.room(0, 0, 10_000_000, 10_000)).isEqualTo(KeptRoom.NONE);
+        }
+    }
+
     @Nested
     final class SuspectTasks {
         private void addRunTo(String id, String job) {
