Don't hold workers for gangs that wait for something other than capacity

A gang that fits but must leave room for urgent tasks held workers that it could not use.

Tested: mvn verify of graph with PlannerTest; PreemptionFuzzTest.UrgentTasks and WorkerDriverFuzzTest.LeavingWorkers by the JUnit launcher.

--- a/graph/src/main/java/org/lovagegrade/graph/planning/GangReservations.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/GangReservations.java
@@ -99,11 +99,16 @@
         return true;
     }
 
-    /** Reserves workers; when a worker of an earlier reservation was lost, the bound of that one stays in force. */
+    /**
+     * Reserves workers, but not if the gang waits for something other than capacity, such as room that is kept for urgent
+     * tasks. When a worker of an earlier reservation was lost, the bound of that one stays in force.
+     */
     private boolean holdAnew(GangRequest gang, List<CandidateWorker> eligible, long nowMs, Held former) {
         String step = gang.step().name();
         Optional<GangReservation> reservation = GangStartPrediction.earliest(gang, eligible, nowMs);
-        if (reservation.isEmpty()) {
+        boolean isCapacityFree =
+                reservation.map(found -> found.startMs() <= nowMs).orElse(false);
+        if (reservation.isEmpty() || isCapacityFree) {
             pause(step, nowMs, RETRY_INTERVAL_MS);
             return false;
         }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/GangStartPrediction.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/GangStartPrediction.java
@@ -45,7 +45,7 @@
             } else {
                 runs--;
                 free = free.plus(release.amount());
-                members = addGrowth(worker, Math.max(nowMs, release.atMs()), free, runs, members);
+                members = addGrowth(worker, Math.max(nowMs + 1, release.atMs()), free, runs, members);
             }
         }
         ResourceVector freeAtEnd =
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -409,6 +409,17 @@
             assertThat(placed(1, gang)).isEmpty();
         }
 
+        /** Guards against workers that are held for a gang that fits, but must leave room. */
+        @Test
+        void shouldNotMakeGangsHoldWorkers() {
+            addWorker("w1", 16_000, "r1", "a");
+            addWorker("w2", 16_000, "r1", "a");
+            StepDemand gang =
+                    demand("gang", 1, false, step(4, 8_000).setGang(true).setEstimateMs(5_000));
+
+            assertThat(placed(1, gang, tasks("small", 2, 1, 6_000, 3_000))).containsExactly("small");
+        }
+
         /** Guards against room that follows neither the arrivals nor what runs already. */
         @Test
         void shouldFollowTheMeasuredArrivals() {
