--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphApplication.java
@@ -34,6 +34,7 @@
     private final Clock wallClock;
     private final Metrics metrics;
     private final PlanOrder planOrder;
+    private final boolean preempts;
     private boolean refusesForLoad;
     private Leadership leadership;
     private GraphLeader leader;
@@ -50,6 +51,7 @@
      * @param wallClock the time of day
      * @param metrics counts refusals
      * @param planOrder the order in which steps are placed on workers
+     * @param preempts whether runs may be stopped for more urgent work
      */
     public GraphApplication(
             WorkerLink link,
@@ -58,7 +60,8 @@
             Clock clock,
             Clock wallClock,
             Metrics metrics,
-            PlanOrder planOrder) {
+            PlanOrder planOrder,
+            boolean preempts) {
         this.machine = GraphStateMachine.withRetention(endedJobRetentionMs);
         this.link = link;
         this.timings = timings;
@@ -66,6 +69,7 @@
         this.wallClock = wallClock;
         this.metrics = metrics;
         this.planOrder = planOrder;
+        this.preempts = preempts;
     }
 
     /**
@@ -123,7 +127,8 @@
                         DriverSafeguards.allEnabled()),
                 newLeadership.term(),
                 nowMs);
-        leader = new GraphLeader(machine, driver, this::proposeWithoutReply, clock, wallClock, planOrder, metrics);
+        leader = new GraphLeader(
+                machine, driver, this::proposeWithoutReply, clock, wallClock, planOrder, preempts, metrics);
         Optional<SubmissionGate> gate = refusesForLoad
                 ? Optional.of(new SubmissionGate(leader.workAccount(), wallClock, metrics))
                 : Optional.empty();
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -290,7 +290,7 @@
         WorkerSession session = sessions.get(run.worker());
         RunTracker tracker = session == null ? null : session.runs.get(run.key());
         if (tracker != null) {
-            tracker.stopRequested = true;
+            tracker.requestStop(nowMs);
             tracker.stopCause = tracker.stopCause == WasteCause.NONE ? cause : tracker.stopCause;
             orderSender.sendIfDue(session, tracker, nowMs);
         }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.graph.planning;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -33,10 +34,12 @@
     private final WorkspaceQuotas quotas;
     private final List<Placement> placements = new ArrayList<>();
     private final TicketRequests ticketRequests;
+    private final List<UnplacedTasks> unplacedTasks = new ArrayList<>();
     private final Isolation isolation;
     private final GangReservations reservations;
     private final RunTimes runTimes;
     private final long nowMs;
+    private RoomGuard roomGuard = new RoomGuard(KeptRoom.NONE, List.of());
     private int gangsWithReservation;
     private int gangsConsidered;
 
@@ -67,6 +70,17 @@
         this.ticketRequests = new TicketRequests(advice);
     }
 
+    /**
+     * Keeps room free for urgent tasks while this planner makes its plan.
+     *
+     * @param room the room
+     * @return this planner
+     */
+    public Planner keeping(KeptRoom room) {
+        roomGuard = new RoomGuard(room, workers);
+        return this;
+    }
+
     /**
      * Makes the plan.
      *
@@ -83,7 +97,7 @@
             }
         }
         reservations.removeExpired(nowMs);
-        return new Plan(List.copyOf(placements), ticketRequests.requests());
+        return new Plan(List.copyOf(placements), ticketRequests.requests(), List.copyOf(unplacedTasks));
     }
 
     // --- single tasks
@@ -111,8 +125,10 @@
             }
             place(demand, index, demand.step().tasks().get(index).run() + 1, selected.get());
         }
-        if (unplaced > 0 && demand.needsTicket()) {
-            requestAdvice(demand, candidates, unplaced);
+        boolean waitsForTicketOnly =
+                unplaced > 0 && demand.needsTicket() && requestAdvice(demand, candidates, unplaced);
+        if (unplaced > 0 && !waitsForTicketOnly) {
+            noteUnplaced(demand, candidates, unplaced);
         }
     }
 
@@ -179,9 +195,14 @@
         ResourceVector need = demand.step().perTask();
         int limit = Math.min(max, remainingStepTasks(demand, worker));
         int fitting = limit <= 0 ? 0 : need.timesInto(worker.free(), limit);
-        return fitting > 0 && worker.isHeld()
-                ? worker.fittingBesideHold(need, demand.priority(), endMs(demand.step()), fitting)
-                : fitting;
+        if (fitting > 0 && worker.isHeld()) {
+            fitting = worker.fittingBesideHold(need, demand.priority(), endMs(demand.step()), fitting);
+        }
+        return fitting > 0 && isBoundByRoom(demand) ? roomGuard.allowed(worker, need, fitting, 0) : fitting;
+    }
+
+    private boolean isBoundByRoom(StepDemand demand) {
+        return roomGuard.binds(demand.priority()) && !roomGuard.endsInTime(runTimes.expectedMs(demand.step()));
     }
 
     private long endMs(StepRecord step) {
@@ -225,6 +246,9 @@
         boolean waitsForTicketOnly = demand.needsTicket() && requestAdvice(demand, candidates, members);
         if (!waitsForTicketOnly) {
             reserve(demand, candidates, members);
+            if (!isSuspect) {
+                noteUnplaced(demand, candidates, members);
+            }
         }
     }
 
@@ -259,10 +283,16 @@
                         .thenComparingLong(room -> room.worker.free().milliCores()))
                 .toList();
         List<CandidateWorker> selected = new ArrayList<>();
+        boolean isBound = isBoundByRoom(demand);
+        ResourceVector need = demand.step().perTask();
+        int lost = 0;
         for (Room room : rooms) {
-            for (int count = 0; count < room.tasks && selected.size() < members; count++) {
-                selected.add(room.worker);
+            int tasks = Math.min(room.tasks, members - selected.size());
+            if (isBound) {
+                tasks = roomGuard.allowed(room.worker, need, tasks, lost);
+                lost += roomGuard.lost(room.worker, need.times(tasks));
             }
+            selected.addAll(Collections.nCopies(tasks, room.worker));
         }
         return selected;
     }
@@ -353,7 +383,10 @@
         boolean isAnswerSoon = demand.urgency() != Urgency.OVERDUE
                 || advice.isPending(demand.step().name());
         if (isFeasible && isRequested && isAnswerSoon) {
-            selected.forEach(worker -> worker.allocate(demand.step().perTask()));
+            selected.forEach(worker -> roomGuard.allocating(
+                    worker,
+                    demand.priority(),
+                    () -> worker.allocate(demand.step().perTask())));
         }
         return isFeasible;
     }
@@ -369,9 +402,15 @@
         return Math.min(demand.step().perTask().timesInto(capacity, max), remainingStepTasks(demand, worker));
     }
 
+    private void noteUnplaced(StepDemand demand, Candidates candidates, int tasks) {
+        if (demand.urgency() == Urgency.IN_TIME) {
+            unplacedTasks.add(new UnplacedTasks(demand, tasks, candidates.allowed, candidates.stale));
+        }
+    }
+
     private void place(StepDemand demand, int index, int run, CandidateWorker worker) {
         ResourceVector need = demand.step().perTask();
-        worker.addStart(demand.step(), endMs(demand.step()));
+        roomGuard.allocating(worker, demand.priority(), () -> worker.addStart(demand.step(), endMs(demand.step())));
         quotas.allocate(workspace(demand), need);
         placements.add(new Placement(demand.step(), index, run, worker.info()));
     }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Urgency.java
@@ -67,6 +67,21 @@
         return dueAtMs + (long) objectiveMs(steps, queue) - criticalPathMs(steps, true);
     }
 
+    /**
+     * Determines how long an occurrence can wait and still meet its objective by the estimates of its unfinished steps.
+     *
+     * @param job the job
+     * @param occurrence the number of the occurrence, from 0
+     * @param queue the job's queue
+     * @param dueAtMs when the occurrence became due, in milliseconds since 1970
+     * @param nowMs the present time, in milliseconds since 1970
+     * @return the time in milliseconds, negative if the objective will be missed
+     */
+    public static double slackMs(JobRecord job, int occurrence, QueueProto queue, long dueAtMs, long nowMs) {
+        List<StepRecord> steps = job.occurrences().get(occurrence);
+        return objectiveMs(steps, queue) - (nowMs - dueAtMs) - criticalPathMs(steps, true);
+    }
+
     /** The critical path by the steps' estimates, in milliseconds, optionally without the steps that are done. */
     private static long criticalPathMs(List<StepRecord> steps, boolean onlyUnfinished) {
         long[] finishMs = new long[steps.size()];
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.lovagegrade.graph.machine.Evacuation;
 import org.lovagegrade.graph.machine.GraphStateListener;
@@ -46,6 +48,7 @@
 final class SimulatedCell implements WorkerLink {
     static final String POOL = "pool";
     private static final String QUEUE = "queue";
+    private static final String URGENT_QUEUE = "urgent";
     static final long LEASE_MS = 4_000;
     private static final long TICK_MS = 5;
     private static final ResourceVector CAPACITY = new ResourceVector(4_000, 4_000, 0);
@@ -71,6 +74,7 @@
     private final Random random;
     private double faultRate;
     private final DriverSafeguards safeguards;
+    private final boolean preempts;
     private final GraphStateMachine machine = GraphStateMachine.withRetention(1_000_000);
     /** By address, which a worker keeps when it starts again. */
     private final Map<String, SimulatedWorker> workers = new HashMap<>();
@@ -98,6 +102,7 @@
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
     private int crashesWithRunsOfOtherJobs;
+    private final Metrics metrics = Metrics.create();
     private boolean runsLast;
     private final Map<String, Integer> stopsByJob = new HashMap<>();
     private long crashDelayMs = 10;
@@ -108,19 +113,18 @@
     }
 
     SimulatedCell(long seed, int workerCount, double faultRate, DriverSafeguards safeguards) {
+        this(seed, workerCount, faultRate, safeguards, false);
+    }
+
+    private SimulatedCell(
+            long seed, int workerCount, double faultRate, DriverSafeguards safeguards, boolean preempts) {
         this.safeguards = safeguards;
+        this.preempts = preempts;
         this.random = new Random(seed);
         this.faultRate = faultRate;
         this.operator = new SimulatedOperator(time, this, new Random(seed));
         machine.apply(GraphCommandProto.newBuilder()
-                .setConfigure(FleetDocumentProto.newBuilder()
-                        .setVersion(1)
-                        .setSource(ByteString.copyFromUtf8("1"))
-                        .addPools(PoolProto.newBuilder().setName(POOL))
-                        .addQueues(QueueProto.newBuilder()
-                                .setName(QUEUE)
-                                .setPool(POOL)
-                                .setMaxAttempts(1_000)))
+                .setConfigure(preempts ? fleetWithUrgentQueue() : fleet())
                 .build());
         for (int number = 0; number < workerCount; number++) {
             boot("w" + number + ":1", "w" + number);
@@ -129,6 +133,32 @@
         time.after(TICK_MS, this::tick);
     }
 
+    /** Returns a cell with an urgent queue, whose leaders stop other runs for urgent tasks. */
+    static SimulatedCell withPreemption(long seed, int workerCount, double faultRate) {
+        return new SimulatedCell(seed, workerCount, faultRate, DriverSafeguards.allEnabled(), true);
+    }
+
+    private static FleetDocumentProto.Builder fleet() {
+        return emptyFleet().addQueues(queue(QUEUE));
+    }
+
+    private static FleetDocumentProto.Builder fleetWithUrgentQueue() {
+        return emptyFleet()
+                .addQueues(queue(QUEUE).setPriority(1).setSlackFactor(1))
+                .addQueues(queue(URGENT_QUEUE).setSlackFactor(1).setCompletionTargetMs(600));
+    }
+
+    private static FleetDocumentProto.Builder emptyFleet() {
+        return FleetDocumentProto.newBuilder()
+                .setVersion(1)
+                .setSource(ByteString.copyFromUtf8("1"))
+                .addPools(PoolProto.newBuilder().setName(POOL));
+    }
+
+    private static QueueProto.Builder queue(String name) {
+        return QueueProto.newBuilder().setName(name).setPool(POOL).setMaxAttempts(1_000);
+    }
+
     /** From now on workers accept a start whose own lease has expired while another lease on the worker still holds. */
     void acceptExpiredStarts() {
         acceptsExpiredStarts = true;
@@ -185,7 +215,7 @@
         rebootMs = durationMs;
     }
 
-    /** From now on runs go on until they are stopped. */
+    /** From now on runs that are not urgent go on until they are stopped. */
     void makeRunsLast() {
         runsLast = true;
     }
@@ -196,7 +226,10 @@
                 .filter(run -> run.key().task().job().equals(job))
                 .findFirst()
                 .orElseThrow();
-        EndedRunView end = workers.get(lost.worker())
+        EndedRunView end = workers.values().stream()
+                .filter(worker -> worker.info().getId().equals(lost.worker()))
+                .findFirst()
+                .orElseThrow()
                 .end(lost.key(), RunEndProto.RUN_FAILED)
                 .orElseThrow();
         elect();
@@ -344,8 +377,7 @@
                         safeguards),
                 ownTerm,
                 time.nowMs());
-        GraphLeader duties =
-                new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency(), Metrics.create());
+        GraphLeader duties = new GraphLeader(machine, driver, proposer, time, time, PlanOrder.urgency(), preempts, metrics);
         leader = new SimulatedLeader(duties, queue, link, evacuationHandler);
         machine.setListener(duties);
     }
@@ -465,10 +497,26 @@
         });
     }
 
+    /** How many runs the leaders have stopped for a reason. */
+    int stoppedRuns(StopCause cause) {
+        Matcher value = Pattern.compile(
+                        "lovagegrade_stopped_runs\\S*" + cause.name() + "\\S* ([0-9.]+)", Pattern.CASE_INSENSITIVE)
+                .matcher(metrics.scrape());
+        return value.find() ? (int) Double.parseDouble(value.group(1)) : 0;
+    }
+
     String submit(StepProto... steps) {
+        return submitTo(QUEUE, steps);
+    }
+
+    String submitUrgent(StepProto... steps) {
+        return submitTo(URGENT_QUEUE, steps);
+    }
+
+    private String submitTo(String queue, StepProto... steps) {
         String id = "job" + nextJob++;
         GraphProto.Builder graph =
-                GraphProto.newBuilder().setId(id).setQueue(QUEUE).setWorkspace("team");
+                GraphProto.newBuilder().setId(id).setQueue(queue).setWorkspace("team");
         for (StepProto step : steps) {
             graph.addSteps(step);
         }
@@ -516,7 +564,8 @@
             }
             return;
         }
-        if (runsLast || isGangWithCrashingMember(run)) {
+        boolean isUrgent = job(run.task().job()).graph().getQueue().equals(URGENT_QUEUE);
+        if ((runsLast && !isUrgent) || isGangWithCrashingMember(run)) {
             return;
         }
         RunEndProto how = random.nextInt(20) == 0 ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
