Gangs that wait learn their verdicts in the background, however late they are

Cause: a gang for which no single question reaches a probability of one half was asked about only as one of the first two that don't fit, and never once overdue; 16 such gangs of small tasks hid all later ones of their queue. A question about verdicts had to cover the whole gang, although the verdicts of several add up. Change: such questions are asked in the background: after all others, by three tenths of the processes, without claims on capacity. Useless work, which had a tenth of the processes, shares them. Ruled out: lost questions and vanished processes (they time out); holds and their pauses (the fleet was empty).

--- a/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/advice/AdviceBroker.java
@@ -31,8 +31,8 @@
     private static final double SLOW_QUESTION_MS = 200;
     /** The fraction of processes that is reserved for quick questions, if there are several. */
     private static final double QUICK_QUESTION_SHARE = 0.4;
-    /** The fraction of processes that may ask about work whose result will be useless; at least one may. */
-    private static final double USELESS_QUESTION_SHARE = 0.1;
+    /** The fraction of processes that may ask background questions; at least one may. Others find the rest free. */
+    private static final double BACKGROUND_QUESTION_SHARE = 0.3;
     /** A question times out after its expected duration, {@link #ANSWER_SLACK_SHARE} of it, and this time. */
     private static final long ANSWER_SLACK_MS = 400;
 
@@ -75,6 +75,10 @@
             return AdviceBroker.isSlow(wish);
         }
 
+        boolean isBackground() {
+            return wish.rank().isBackground();
+        }
+
         Question without(String worker) {
             return new Question(wish.without(worker::equals), number, caller, sentAtMs);
         }
@@ -160,6 +164,16 @@
         return pendingQuestion(step).isPresent();
     }
 
+    /**
+     * Whether the pending question about a step is a background question.
+     *
+     * @param step the step's name
+     * @return true if so; false without a pending question
+     */
+    public boolean isPendingInBackground(String step) {
+        return pendingQuestion(step).filter(Question::isBackground).isPresent();
+    }
+
     /**
      * The workers that the unanswered question about a step names.
      *
@@ -341,9 +355,8 @@
         if (isSlow(wish) && count(Question::isSlow) >= processes - reserved) {
             return false;
         }
-        long maxUseless = Math.max(1, (long) (processes * USELESS_QUESTION_SHARE));
-        return !wish.rank().isUseless()
-                || count(question -> question.wish().rank().isUseless()) < maxUseless;
+        long maxBackground = Math.max(1, (long) (processes * BACKGROUND_QUESTION_SHARE));
+        return !wish.rank().isBackground() || count(Question::isBackground) < maxBackground;
     }
 
     private long count(Predicate<Question> condition) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -542,6 +542,11 @@
                 return adviceBroker.isPending(step);
             }
 
+            @Override
+            public boolean isPendingInBackground(String step) {
+                return adviceBroker.isPendingInBackground(step);
+            }
+
             @Override
             public List<String> workersAsked(String step) {
                 return adviceBroker.workersAsked(step);
--- a/graph/src/main/java/org/lovagegrade/graph/planning/AdviceLookup.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/AdviceLookup.java
@@ -22,6 +22,16 @@
      */
     boolean isPending(String step);
 
+    /**
+     * Whether the question about a step that was sent and is not answered is a background question.
+     *
+     * @param _step the step's name
+     * @return true if so; false without such a question
+     */
+    default boolean isPendingInBackground(String _step) {
+        return false;
+    }
+
     /**
      * The workers that the unanswered question about a step names.
      *
--- a/graph/src/main/java/org/lovagegrade/graph/planning/AdviceRequest.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/AdviceRequest.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.graph.planning;
 
 import java.util.List;
+import org.lovagegrade.graph.advice.QuestionPurpose;
 import org.lovagegrade.graph.advice.QuestionRank;
 import org.lovagegrade.graph.advice.QuestionWish;
 
@@ -12,6 +13,7 @@
  * @param workers the ids of the workers to ask about
  * @param priority the queue's priority; a lower number goes first
  * @param costMs the expected duration of the adviser's call, in milliseconds
+ * @param purpose what the answer is for
  * @param urgency whether the occurrence can still meet its objective
  * @param latestStartMs when the step must start to meet the objective, in milliseconds since 1970
  * @param expectedCoreMs the work that is expected to start with the tickets, in core-ms
@@ -22,6 +24,7 @@
         List<String> workers,
         int priority,
         double costMs,
+        QuestionPurpose purpose,
         Urgency urgency,
         long latestStartMs,
         double expectedCoreMs) {
@@ -37,8 +40,7 @@
     public QuestionWish toWish(long wallMs) {
         long slackMs = Math.max(0, latestStartMs - wallMs);
         double delayCost = expectedCoreMs / Math.max(1, costMs) * Math.exp(-slackMs / SLACK_SCALE_MS);
-        QuestionRank rank =
-                new QuestionRank(urgency == Urgency.OVERDUE, priority, urgency != Urgency.IN_TIME, delayCost);
+        QuestionRank rank = new QuestionRank(purpose, priority, urgency != Urgency.IN_TIME, delayCost);
         return new QuestionWish(step, queue, workers, rank, costMs);
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
@@ -16,7 +16,7 @@
  */
 record QuestionScope(List<TicketOption> options, double yield, double costMs) {
     /** An adviser accepts at most this many workers in a request. */
-    private static final int MAX_WORKERS = 100;
+    static final int MAX_WORKERS = 100;
     /** Workers that cost up to this fraction of the fixed cost are added, in case the first ones are used by other steps. */
     private static final double CHEAP_SHARE = 0.1;
 
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
-import org.lovagegrade.graph.machine.ResourceVector;
+import org.lovagegrade.graph.advice.QuestionPurpose;
 import org.lovagegrade.wire.proto.AdviceCostProto;
 
 /**
@@ -20,8 +20,13 @@
     private static final int MAX_REQUESTS_PER_PRIORITY = 32;
     /** After so many steps without a worthwhile question, only steps with smaller tasks are examined. */
     private static final int MAX_MISSES = 16;
-    /** The gangs that may learn verdicts and renew tickets before they fit: as many as may reserve workers. */
+    /**
+     * The gangs that may learn verdicts and renew tickets before they fit: as many as may reserve workers. The gangs after
+     * them, and late ones, do the same in the background.
+     */
     private static final int MAX_GANGS_AHEAD = 2;
+    /** Bounds the steps that are examined for background questions, since few of these questions are sent at a time. */
+    private static final int MAX_BACKGROUND_REQUESTS = 8;
     /** A question that costs less is asked before the step fits, so that its verdicts are known once it does. */
     private static final double LEARN_AHEAD_COST_MS = 50;
     /** A gang isn't asked about if its members fit on the allowed workers with a lower probability. */
@@ -43,13 +48,13 @@
     private final AdviceLookup advice;
     private final List<AdviceRequest> requests = new ArrayList<>();
     private final Map<Integer, Integer> requestsByPriority = new HashMap<>();
-    /** The thousandths of a core on each worker that the steps of other questions will probably use. */
-    private final Map<String, Double> claimedMilliCores = new HashMap<>();
+    private final CapacityClaims claims = new CapacityClaims();
 
     /** The steps for which no question is worthwhile, so that those like them needn't be examined. */
     private final Map<MissKey, Misses> misses = new HashMap<>();
 
     private int gangsAhead;
+    private int backgroundRequests;
 
     private record MissKey(String queue, String label, boolean isGang) {}
 
@@ -97,20 +102,37 @@
             ToIntFunction<CandidateWorker> fitWhenEmpty) {
         double share = advice.allowedShare(demand.queue().getName());
         if (advice.isPending(demand.step().name())) {
-            gangsAhead += isGang(demand) ? 1 : 0;
-            claimPending(demand, suitable, tasks, fitWhenEmpty, share);
+            boolean isBackground = advice.isPendingInBackground(demand.step().name());
+            gangsAhead += isGang(demand) && !isBackground ? 1 : 0;
+            if (!isBackground) {
+                claimPending(demand, suitable, tasks, fitWhenEmpty, share);
+            }
             return true;
         }
-        if (isHopeless(demand) || requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
+        if (requestsByPriority.getOrDefault(demand.priority(), 0) >= MAX_REQUESTS_PER_PRIORITY) {
             return false;
         }
-        Optional<QuestionScope> scope = scopeForStart(demand, suitable, tasks, fit, fitWhenEmpty, share);
-        if (scope.isEmpty() && mayAskAhead(demand)) {
-            scope = scopeForVerdicts(demand, suitable, tasks, fitWhenEmpty, share)
-                    .or(() -> scopeForRenewal(demand, suitable, tasks, fit, fitWhenEmpty));
+        Optional<QuestionScope> start = isHopeless(demand)
+                ? Optional.empty()
+                : scopeForStart(demand, suitable, tasks, fit, fitWhenEmpty, share);
+        if (start.isPresent()) {
+            add(demand, start.get(), tasks, startPurpose(demand));
+            return true;
         }
-        scope.ifPresent(chosen -> add(demand, chosen, tasks));
-        return scope.isPresent();
+        boolean isBackground = !mayAskAhead(demand);
+        if (isBackground && !mayAskInBackground(demand)) {
+            return false;
+        }
+        Optional<QuestionScope> ahead = scopeForVerdicts(demand, suitable, tasks, fitWhenEmpty, share)
+                .or(() -> scopeForRenewal(demand, suitable, tasks, fit, fitWhenEmpty));
+        QuestionPurpose purpose = isBackground ? QuestionPurpose.LEARN_AHEAD : QuestionPurpose.START;
+        ahead.ifPresent(chosen -> add(demand, chosen, tasks, purpose));
+        return ahead.isPresent();
+    }
+
+    /** Whether a gang may learn its verdicts while nothing more urgent waits for the adviser, however late it is. */
+    private boolean mayAskInBackground(StepDemand demand) {
+        return isGang(demand) && backgroundRequests < MAX_BACKGROUND_REQUESTS;
     }
 
     private boolean isHopeless(StepDemand demand) {
@@ -143,7 +165,8 @@
         }
         double probability = isKnown ? 1 : advice.allowedShare(demand.queue().getName());
         List<TicketOption> options = options(workers, _worker -> 1, probability);
-        QuestionScope.best(options, 0, 1, false, cost(demand)).ifPresent(chosen -> add(demand, chosen, 1));
+        QuestionScope.best(options, 0, 1, false, cost(demand))
+                .ifPresent(chosen -> add(demand, chosen, 1, startPurpose(demand)));
     }
 
     /**
@@ -195,7 +218,7 @@
         List<TicketOption> soon = new ArrayList<>();
         lasting.forEach(
                 worker -> optionSoon(demand, worker, fit, fitWhenEmpty, 1).ifPresent(soon::add));
-        claim(demand, soon, tasks);
+        claims.add(demand, soon, tasks);
         return (int) soon.stream().mapToDouble(TicketOption::expectedTasks).sum();
     }
 
@@ -205,7 +228,7 @@
             ToIntFunction<CandidateWorker> fit,
             double probability,
             boolean isKnown) {
-        int tasks = unclaimedFit(demand, worker, fit);
+        int tasks = claims.unclaimedFit(demand, worker, fit);
         return tasks > 0 ? Optional.of(new TicketOption(worker, tasks, probability, isKnown)) : Optional.empty();
     }
 
@@ -219,15 +242,14 @@
         long perTask = demand.step().perTask().milliCores();
         long estimateMs = demand.step().spec().getEstimateMs();
         int most = fitWhenEmpty.applyAsInt(worker);
-        if (perTask <= 0 || estimateMs <= 0 || most <= 0 || unclaimedFit(demand, worker, fit) > 0) {
+        if (perTask <= 0 || estimateMs <= 0 || most <= 0 || claims.unclaimedFit(demand, worker, fit) > 0) {
             return Optional.empty();
         }
         // What runs there is taken to last as long as this step's tasks, and to be anywhere in its run.
         double endingShare = Math.min(MAX_ENDING_SHARE, cost(demand).getValidMs() / 2.0 / estimateMs);
         long free = worker.free().milliCores();
         double ending = (worker.info().getCapacity().getMilliCores() - free) * endingShare;
-        double claimed = claimedMilliCores.getOrDefault(worker.id(), 0.0);
-        double room = (free + ending - claimed) / perTask;
+        double room = (free + ending - claims.milliCores(worker)) / perTask;
         int fitting = (int) Math.max(1, Math.min(most, room));
         return room > MIN_ROOM
                 ? Optional.of(new TicketOption(worker, fitting, probability * Math.min(1, room), false))
@@ -258,7 +280,8 @@
             return Optional.empty();
         }
         List<TicketOption> options = options(suitable.unknown(), fitWhenEmpty, share);
-        return QuestionScope.best(options, covered, tasks, isGang(demand), cost(demand));
+        // One question needn't cover a wide gang: the verdicts of several add up.
+        return QuestionScope.best(options, covered, tasks, false, cost(demand));
     }
 
     /** Selects allowed workers of a gang that will probably fit by the time of the answer. */
@@ -279,7 +302,7 @@
                 - lasting.stream().mapToInt(fitWhenEmpty).sum();
         List<TicketOption> chosen = new ArrayList<>();
         for (TicketOption option : options(known, fitWhenEmpty, 1)) {
-            if (wanted > 0) {
+            if (wanted > 0 && chosen.size() < QuestionScope.MAX_WORKERS) {
                 chosen.add(option);
                 wanted -= option.tasks();
             }
@@ -316,16 +339,6 @@
 
     // --- claims
 
-    private int unclaimedFit(StepDemand demand, CandidateWorker worker, ToIntFunction<CandidateWorker> fit) {
-        double claimed = claimedMilliCores.getOrDefault(worker.id(), 0.0);
-        long perTask = demand.step().perTask().milliCores();
-        if (claimed <= 0 || perTask <= 0) {
-            return fit.applyAsInt(worker);
-        }
-        int fitting = (int) Math.max(0, (worker.free().milliCores() - claimed) / perTask);
-        return Math.min(fit.applyAsInt(worker), fitting);
-    }
-
     /** Claims capacity for a pending question; a worker without room is taken to be named for one task. */
     private void claimPending(
             StepDemand demand,
@@ -337,25 +350,15 @@
         List<CandidateWorker> named = suitable.unknown().stream()
                 .filter(worker -> asked.contains(worker.id()))
                 .toList();
-        claim(demand, options(named, worker -> Math.min(1, fitWhenEmpty.applyAsInt(worker)), share), tasks);
+        claims.add(demand, options(named, worker -> Math.min(1, fitWhenEmpty.applyAsInt(worker)), share), tasks);
     }
 
-    /** Spreads the wanted tasks over the named workers, by how many each will probably run. */
-    private void claim(StepDemand demand, List<TicketOption> options, int tasks) {
-        double expected =
-                options.stream().mapToDouble(TicketOption::expectedTasks).sum();
-        double scale = Math.min(1, tasks / Math.max(1, expected));
-        ResourceVector perTask = demand.step().perTask();
-        for (TicketOption option : options) {
-            if (!option.isHeld()) {
-                double milliCores = option.expectedTasks() * scale * perTask.milliCores();
-                claimedMilliCores.merge(option.worker().id(), milliCores, Double::sum);
-            }
+    private void add(StepDemand demand, QuestionScope scope, int tasks, QuestionPurpose purpose) {
+        if (purpose == QuestionPurpose.START) {
+            claims.add(demand, scope.options(), tasks);
+        } else {
+            backgroundRequests++;
         }
-    }
-
-    private void add(StepDemand demand, QuestionScope scope, int tasks) {
-        claim(demand, scope.options(), tasks);
         requestsByPriority.merge(demand.priority(), 1, Integer::sum);
         double expectedTasks = scope.yield() * tasks;
         double coreMsPerTask = demand.step().perTask().milliCores()
@@ -367,12 +370,17 @@
                 scope.options().stream().map(option -> option.worker().id()).toList(),
                 demand.priority(),
                 scope.costMs(),
+                purpose,
                 demand.urgency(),
                 Urgency.latestStartMs(
                         demand.step().job(), demand.step().occurrence(), demand.queue(), demand.dueAtMs()),
                 expectedTasks * coreMsPerTask));
     }
 
+    private static QuestionPurpose startPurpose(StepDemand demand) {
+        return demand.urgency() == Urgency.OVERDUE ? QuestionPurpose.OVERDUE_START : QuestionPurpose.START;
+    }
+
     private static boolean isGang(StepDemand demand) {
         return demand.step().spec().getGang();
     }
--- a/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/advice/AdviceBrokerTest.java
@@ -21,7 +21,7 @@
     private final List<AdviceQuestionProto> received = new ArrayList<>();
 
     private static QuestionWish wish(String step, int priority, double costMs, String... workers) {
-        return wish(step, new QuestionRank(false, priority, false, 1), costMs, workers);
+        return wish(step, new QuestionRank(QuestionPurpose.START, priority, false, 1), costMs, workers);
     }
 
     private static QuestionWish wish(String step, QuestionRank rank, double costMs, String... workers) {
@@ -105,10 +105,10 @@
         void shouldBeOrderedByUsePriorityTimelinessAndCostOfDelay() {
             request(
                     0,
-                    wish("useless.0.0", new QuestionRank(true, 0, true, 9), QUICK_MS, "w1"),
-                    wish("cheap.0.0", new QuestionRank(false, 1, false, 1), QUICK_MS, "w1"),
-                    wish("late.0.0", new QuestionRank(false, 1, true, 9), QUICK_MS, "w1"),
-                    wish("costly.0.0", new QuestionRank(false, 1, false, 2), QUICK_MS, "w1"));
+                    wish("useless.0.0", new QuestionRank(QuestionPurpose.OVERDUE_START, 0, true, 9), QUICK_MS, "w1"),
+                    wish("cheap.0.0", new QuestionRank(QuestionPurpose.START, 1, false, 1), QUICK_MS, "w1"),
+                    wish("late.0.0", new QuestionRank(QuestionPurpose.START, 1, true, 9), QUICK_MS, "w1"),
+                    wish("costly.0.0", new QuestionRank(QuestionPurpose.START, 1, false, 2), QUICK_MS, "w1"));
 
             for (int caller = 0; caller < 4; caller++) {
                 poll("entry-" + caller, 1);
@@ -131,10 +131,10 @@
             assertThat(received.get(0).getWorkersList()).containsExactly("w2");
         }
 
-        /** Guards against work that is useless occupying all processes during an overload. */
+        /** Guards against background questions occupying all processes during an overload. */
         @Test
-        void shouldOccupyFewProcessesIfUseless() {
-            QuestionRank useless = new QuestionRank(true, 0, true, 1);
+        void shouldOccupyFewProcessesInBackground() {
+            QuestionRank useless = new QuestionRank(QuestionPurpose.OVERDUE_START, 0, true, 1);
             poll("entry-1", 0);
             poll("entry-2", 0);
 
