A gang's question names busy workers too, as long as they are cheap

Cause: a question named only workers with room, so a gang knew three to five allowed workers and waited for just these to be free together, while others were; further questions cost 0.5 s each. Change: up to 40% of the fixed cost more goes to verdicts of workers without room, unless the question almost certainly suffices.

--- a/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
@@ -21,6 +21,8 @@
     private static final double CHEAP_SHARE = 0.1;
 
     private static final double ALMOST_CERTAIN = 0.99;
+    /** A gang's question may cost this fraction of its fixed cost more for verdicts that are needed only later. */
+    private static final double LEARNING_SHARE = 0.4;
 
     /**
      * Selects the first of the given workers, as many as give the highest yield per ms of adviser time.
@@ -66,8 +68,30 @@
     }
 
     private static int cheapWorkers(AdviceCostProto cost) {
-        double workers = CHEAP_SHARE * cost.getDecideMs() / Math.max(cost.getPerWorkerMs(), Double.MIN_NORMAL);
-        return (int) Math.min(MAX_WORKERS, workers);
+        return (int) Math.min(MAX_WORKERS, CHEAP_SHARE * cost.getDecideMs() / perWorkerMs(cost));
+    }
+
+    private static double perWorkerMs(AdviceCostProto cost) {
+        return Math.max(cost.getPerWorkerMs(), Double.MIN_NORMAL);
+    }
+
+    /**
+     * Names further workers, so that the gang has a choice of allowed ones if those that have room now don't suffice.
+     *
+     * @param others workers without room for the step, the most useful first
+     * @param cost the cost of a question
+     * @return this selection, with as many of the others as are cheap beside the fixed cost, unless it almost
+     *     certainly suffices
+     */
+    QuestionScope learning(List<TicketOption> others, AdviceCostProto cost) {
+        if (yield >= ALMOST_CERTAIN) {
+            return this;
+        }
+        int cheap = (int) Math.min(MAX_WORKERS, LEARNING_SHARE * cost.getDecideMs() / perWorkerMs(cost));
+        int further = Math.min(others.size(), Math.max(0, cheap - options.size()));
+        List<TicketOption> named = new ArrayList<>(options);
+        named.addAll(others.subList(0, further));
+        return new QuestionScope(named, yield, costMs + further * cost.getPerWorkerMs());
     }
 
     private double yieldPerMs() {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketOption.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketOption.java
@@ -12,4 +12,9 @@
     double expectedTasks() {
         return tasks * probability;
     }
+
+    /** The same worker, named only for its verdict, since it has no room while the ticket is valid. */
+    TicketOption withoutRoom() {
+        return new TicketOption(worker, tasks, 0, isHeld);
+    }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 import org.lovagegrade.graph.advice.QuestionPurpose;
 import org.lovagegrade.wire.proto.AdviceCostProto;
 
@@ -205,7 +207,22 @@
         if (scope.isEmpty()) {
             addMiss(demand);
         }
-        return scope;
+        return isGang
+                ? scope.map(best -> best.learning(othersToLearn(best, suitable, fitWhenEmpty, share), cost(demand)))
+                : scope;
+    }
+
+    /** The workers without a verdict that a question doesn't name. */
+    private static List<TicketOption> othersToLearn(
+            QuestionScope scope, Suitable suitable, ToIntFunction<CandidateWorker> fitWhenEmpty, double share) {
+        Set<String> named =
+                scope.options().stream().map(option -> option.worker().id()).collect(Collectors.toSet());
+        List<CandidateWorker> others = suitable.unknown().stream()
+                .filter(worker -> !named.contains(worker.id()))
+                .toList();
+        return options(others, fitWhenEmpty, share).stream()
+                .map(TicketOption::withoutRoom)
+                .toList();
     }
 
     /** Claims the room that workers with lasting tickets will have, and returns how many tasks they will take. */
--- a/graph/src/test/java/org/lovagegrade/graph/planning/QuestionScopeTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/QuestionScopeTest.java
@@ -62,6 +62,48 @@
         }
     }
 
+    /** Load pattern: a busy fleet, on which the few workers that are known to be allowed are seldom free together. */
+    @Nested
+    final class GangsOnBusyFleet {
+        @Test
+        void shouldLearnVerdictsOfBusyWorkersWhileTheyAreCheap() {
+            QuestionScope scope =
+                    QuestionScope.best(options(10, 3, 0.5), 0, 6, true, GANG).orElseThrow();
+            QuestionScope learning = scope.learning(options(200, 3, GANG_SHARE), GANG);
+
+            assertThat(learning.options().size()).isGreaterThan(scope.options().size());
+            assertThat(learning.options().size() * GANG.getPerWorkerMs()).isAtMost(0.5 * GANG.getDecideMs());
+            assertThat(learning.yield()).isEqualTo(scope.yield());
+        }
+
+        @Test
+        void shouldLearnNothingMoreIfKnownWorkersSuffice() {
+            QuestionScope scope =
+                    QuestionScope.best(options(10, 3, 1), 0, 6, true, GANG).orElseThrow();
+
+            assertThat(scope.learning(options(200, 3, GANG_SHARE), GANG).options())
+                    .hasSize(2);
+        }
+
+        @Test
+        void shouldLearnNothingMoreInLargeQuestion() {
+            QuestionScope scope = QuestionScope.best(options(245, 3, GANG_SHARE), 0, 20, true, GANG)
+                    .orElseThrow();
+
+            assertThat(scope.learning(options(200, 3, GANG_SHARE), GANG).options())
+                    .hasSize(scope.options().size());
+        }
+
+        @Test
+        void shouldStayWithinRequestOfAdviserThatChargesNothingPerWorker() {
+            QuestionScope scope = QuestionScope.best(options(10, 3, 0.5), 0, 6, true, cost(100, 0))
+                    .orElseThrow();
+
+            assertThat(scope.learning(options(200, 3, GANG_SHARE), cost(100, 0)).options())
+                    .hasSize(QuestionScope.MAX_WORKERS);
+        }
+    }
+
     @Nested
     final class SingleTasks {
         @Test
