--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 import org.lovagegrade.graph.advice.AdviceBroker;
 import org.lovagegrade.graph.advice.QuestionWish;
-import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.Evacuation;
 import org.lovagegrade.graph.machine.GraphStateListener;
 import org.lovagegrade.graph.machine.GraphStateMachine;
@@ -20,8 +19,8 @@
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.graph.machine.TaskRecord;
 import org.lovagegrade.graph.machine.WorkerRecord;
-import org.lovagegrade.graph.planning.AdviceLookup;
 import org.lovagegrade.graph.planning.AdviceRequest;
+import org.lovagegrade.graph.planning.BrokeredAdvice;
 import org.lovagegrade.graph.planning.CandidateWorker;
 import org.lovagegrade.graph.planning.CapacityRelease;
 import org.lovagegrade.graph.planning.GangReservation;
@@ -358,7 +357,12 @@
             return;
         }
         Plan plan = new Planner(
-                        candidateWorkers(nowMs), adviceLookup(nowMs), quotas(), gangReservations, runTimes, nowMs)
+                        candidateWorkers(nowMs),
+                        BrokeredAdvice.of(adviceBroker, nowMs),
+                        quotas(),
+                        gangReservations,
+                        runTimes,
+                        nowMs)
                 .plan(demands);
         queueQuestions(plan.adviceRequests(), nowMs);
         if (!plan.placements().isEmpty()) {
@@ -530,40 +534,6 @@
         return releases;
     }
 
-    private AdviceLookup adviceLookup(long nowMs) {
-        return new AdviceLookup() {
-            @Override
-            public Verdict verdict(String step, String worker) {
-                return adviceBroker.verdict(step, worker, nowMs);
-            }
-
-            @Override
-            public boolean isPending(String step) {
-                return adviceBroker.isPending(step);
-            }
-
-            @Override
-            public boolean isPendingInBackground(String step) {
-                return adviceBroker.isPendingInBackground(step);
-            }
-
-            @Override
-            public List<String> workersAsked(String step) {
-                return adviceBroker.workersAsked(step);
-            }
-
-            @Override
-            public long remainingMs(String step, String worker) {
-                return adviceBroker.remainingMs(step, worker, nowMs);
-            }
-
-            @Override
-            public double allowedShare(String queue) {
-                return adviceBroker.allowedShare(queue);
-            }
-        };
-    }
-
     private WorkspaceQuotas quotas() {
         WorkspaceQuotas quotas = new WorkspaceQuotas();
         Map<String, ResourceVector> startingByWorkspace = new HashMap<>();
--- a/graph/src/test/java/org/lovagegrade/graph/planning/AdviceLoadTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/AdviceLoadTest.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagegrade.graph.advice.AdviceBroker;
-import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.GraphStateMachine;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
@@ -54,30 +53,6 @@
     private long nowMs;
     private int questions;
 
-    private AdviceLookup lookup() {
-        return new AdviceLookup() {
-            @Override
-            public Verdict verdict(String step, String worker) {
-                return broker.verdict(step, worker, nowMs);
-            }
-
-            @Override
-            public boolean isPending(String step) {
-                return broker.isPending(step);
-            }
-
-            @Override
-            public long remainingMs(String step, String worker) {
-                return broker.remainingMs(step, worker, nowMs);
-            }
-
-            @Override
-            public double allowedShare(String queue) {
-                return broker.allowedShare(queue);
-            }
-        };
-    }
-
     private static List<CandidateWorker> fleet(long[] freeMilliCores) {
         return IntStream.range(0, WORKERS)
                 .mapToObj(index -> new CandidateWorker(
@@ -121,7 +96,7 @@
         for (int question = 0; question <= maxQuestions; question++) {
             Plan plan = new Planner(
                             fleet(freeMilliCores),
-                            lookup(),
+                            BrokeredAdvice.of(broker, nowMs),
                             new WorkspaceQuotas(),
                             new GangReservations(_reservation -> {}),
                             new RunTimes(),
--- a/graph/src/test/java/org/lovagegrade/graph/planning/QuestionedFleet.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/QuestionedFleet.java
@@ -10,7 +10,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.lovagegrade.graph.advice.AdviceBroker;
-import org.lovagegrade.graph.advice.Verdict;
 import org.lovagegrade.graph.machine.GraphStateMachine;
 import org.lovagegrade.graph.machine.ResourceVector;
 import org.lovagegrade.graph.machine.StepRecord;
@@ -142,8 +141,14 @@
                 .map(this::demand)
                 .sorted(PlanOrder.urgency().comparing(_workspace -> 0))
                 .toList();
-        Plan plan =
-                new Planner(workers(), lookup(), new WorkspaceQuotas(), reservations, runTimes, nowMs).plan(demands);
+        Plan plan = new Planner(
+                        workers(),
+                        BrokeredAdvice.of(broker, nowMs),
+                        new WorkspaceQuotas(),
+                        reservations,
+                        runTimes,
+                        nowMs)
+                .plan(demands);
         broker.replaceQueue(
                 plan.adviceRequests().stream()
                         .map(request -> request.toWish(nowMs))
@@ -249,38 +254,4 @@
                 .findFirst()
                 .orElse(0);
     }
-
-    private AdviceLookup lookup() {
-        return new AdviceLookup() {
-            @Override
-            public Verdict verdict(String step, String worker) {
-                return broker.verdict(step, worker, nowMs);
-            }
-
-            @Override
-            public boolean isPending(String step) {
-                return broker.isPending(step);
-            }
-
-            @Override
-            public boolean isPendingInBackground(String step) {
-                return broker.isPendingInBackground(step);
-            }
-
-            @Override
-            public List<String> workersAsked(String step) {
-                return broker.workersAsked(step);
-            }
-
-            @Override
-            public long remainingMs(String step, String worker) {
-                return broker.remainingMs(step, worker, nowMs);
-            }
-
-            @Override
-            public double allowedShare(String queue) {
-                return broker.allowedShare(queue);
-            }
-        };
-    }
 }
