Review, case 1: one runner that is cut off for 5.5 s is enough

Change: the script cuts one runner of eight off, as node_cut does at its usual dose; the kill of the core stays as a variant.

--- a/review/1/ManyEnds.java
+++ b/review/1/ManyEnds.java
@@ -8,11 +8,16 @@
 import java.util.Map;
 import java.util.Set;
 
-/** All processes of the core are killed and come back while more than 500 small tasks end on one runner. */
+/**
+ * One runner of eight is cut off for 5.5 s while more than 500 small tasks end on it. With KILL_CORE=1, all processes of the
+ * core are killed and come back instead.
+ */
 final class ManyEnds extends Scenario {
     private static final String JOB = "5c0e7a21d94b36f8";
     private static final int TASKS = 750;
     private static final int RUN_MS = 8_000;
+    private static final int RUNNERS = 8;
+    private static final int CUT_MS = 5_500;
 
     public static void main(String[] args) {
         new ManyEnds().main(args[0]);
@@ -21,7 +26,7 @@
     @Override
     boolean play() throws IOException, InterruptedException, NotRunException {
         List<Runner> runners = new ArrayList<>();
-        for (int n = 0; n < 4; n++) {
+        for (int n = 0; n < RUNNERS; n++) {
             Runner runner = new Runner("i-7f3a91c" + n, n, fleet, 16_000, log, history);
             runner.start();
             runners.add(runner);
@@ -36,8 +41,10 @@
         require(
                 await(15_000, () -> history.events().stream().anyMatch(event -> event.how().equals("done"))),
                 "no task has ended");
-        if (hasTrouble) {
+        if (hasTrouble && "1".equals(System.getenv("KILL_CORE"))) {
             killAndRestartCore();
+        } else if (hasTrouble) {
+            runners.stream().filter(runner -> runner.runningNow() > 0).findFirst().orElseThrow().cutFor(CUT_MS);
         }
         await(70_000, () -> client.state(JOB).equals("completed"));
         Thread.sleep(4_000);
--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -100,6 +100,7 @@
     private boolean draining;
     private long drainingAckedAtMs = -1;
     private boolean dead;
+    private volatile long cutUntilMs;
 
     Runner(String id, int n, Fleet fleet, int cpu, Log log, History history) {
         this.id = id;
@@ -152,6 +153,21 @@
         late = policy;
     }
 
+    /** From now on nothing arrives here and nothing leaves, for so long. */
+    void cutFor(long ms) {
+        log.line("runner %s is cut off for %d ms", id, ms);
+        cutUntilMs = log.nowMs() + ms;
+    }
+
+    private void loseWhileCut(HttpExchange exchange) throws IOException {
+        try {
+            Thread.sleep(Math.max(0, cutUntilMs - log.nowMs()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        exchange.close();
+    }
+
     synchronized int runningNow() {
         return running.size();
     }
@@ -205,6 +221,9 @@
     }
 
     private void beat() throws IOException, InterruptedException {
+        if (log.nowMs() < cutUntilMs) {
+            return;
+        }
         ObjectNode body = report();
         String to = heartbeatTo == null ? controls.get(control % controls.size()) : heartbeatTo;
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + to + "/api/instances/" + id))
@@ -231,6 +250,10 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
+        if (log.nowMs() < cutUntilMs) {
+            loseWhileCut(exchange);
+            return;
+        }
         JsonNode body = JSON.readTree(exchange.getRequestBody().readAllBytes());
         String expected = exchange.getRequestHeaders().getFirst("X-Expect-Instance");
         String path = exchange.getRequestURI().getPath();
@@ -412,6 +435,10 @@
     }
 
     private void answer(HttpExchange exchange, int status, ObjectNode body) throws IOException {
+        if (log.nowMs() < cutUntilMs) {
+            loseWhileCut(exchange);
+            return;
+        }
         if (dead) {
             exchange.close();
             return;
