Review: a script that can't start no longer looks like a broken rule

Cause: a Java machine that finds no classes ends with status 1, which the scripts passed on. Change: scenarios end with 10 for a broken rule, which run.sh makes 1; anything but 10 and 0 becomes 2. Result: to be run on this commit: each script with and without the disruption, and one without the build of the stand-ins.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,6 +3,8 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 timeout --kill-after=8 110 java -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host -Dsun.net.httpserver.nodelay=true \
   -cp 'target/review:target/platform/lib/*' review.ForeignHeartbeat review/4/record.txt
-status="$?"
-[ "$status" -le 2 ] || status=2
-exit "$status"
+case "$?" in
+  10) exit 1 ;;
+  0) exit 0 ;;
+  *) exit 2 ;;
+esac
