--- a/graph/src/main/java/org/lovagegrade/graph/planning/GangRequest.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/GangRequest.java
@@ -8,7 +8,7 @@
  *
  * @param step its step
  * @param members the number of its tasks
- * @param priority work of this priority number and above must not delay the gang
+ * @param priority work with a higher priority number must not delay the gang
  * @param needsEmptyWorkers whether its members may share workers with no other job
  */
 record GangRequest(StepRecord step, int members, int priority, boolean needsEmptyWorkers) {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/QuestionScope.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.lovagegrade.wire.proto.AdviceCostProto;
 
 /**
@@ -76,22 +77,24 @@
     }
 
     /**
-     * Names further workers, so that the gang has a choice of allowed ones if those that have room now don't suffice.
+     * Names further workers, so that the gang has a choice of allowed ones if those of this selection don't suffice.
      *
-     * @param others workers without room for the step, the most useful first
+     * @param others supplies the workers without a verdict that aren't selected, the most useful first
      * @param cost the cost of a question
      * @return this selection, with as many of the others as are cheap beside the fixed cost, unless it almost
      *     certainly suffices
      */
-    QuestionScope learning(List<TicketOption> others, AdviceCostProto cost) {
+    QuestionScope learning(Supplier<List<TicketOption>> others, AdviceCostProto cost) {
         if (yield >= ALMOST_CERTAIN) {
             return this;
         }
         int cheap = (int) Math.min(MAX_WORKERS, LEARNING_SHARE * cost.getDecideMs() / perWorkerMs(cost));
-        int further = Math.min(others.size(), Math.max(0, cheap - options.size()));
+        if (options.size() >= cheap) {
+            return this;
+        }
         List<TicketOption> named = new ArrayList<>(options);
-        named.addAll(others.subList(0, further));
-        return new QuestionScope(named, yield, costMs + further * cost.getPerWorkerMs());
+        others.get().stream().limit(cheap - options.size()).forEach(named::add);
+        return new QuestionScope(named, yield, cost.getDecideMs() + named.size() * cost.getPerWorkerMs());
     }
 
     private double yieldPerMs() {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketOption.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketOption.java
@@ -13,8 +13,8 @@
         return tasks * probability;
     }
 
-    /** The same worker, named only for its verdict, since it has no room while the ticket is valid. */
-    TicketOption withoutRoom() {
+    /** The same worker, on which no task is expected to start while the ticket is valid. */
+    TicketOption forVerdictOnly() {
         return new TicketOption(worker, tasks, 0, isHeld);
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/TicketRequests.java
@@ -104,9 +104,8 @@
             ToIntFunction<CandidateWorker> fitWhenEmpty) {
         double share = advice.allowedShare(demand.queue().getName());
         if (advice.isPending(demand.step().name())) {
-            boolean isBackground = advice.isPendingInBackground(demand.step().name());
-            gangsAhead += isGang(demand) && !isBackground ? 1 : 0;
-            if (!isBackground) {
+            if (!advice.isPendingInBackground(demand.step().name())) {
+                gangsAhead += isGang(demand) ? 1 : 0;
                 claimPending(demand, suitable, tasks, fitWhenEmpty, share);
             }
             return true;
@@ -121,6 +120,17 @@
             add(demand, start.get(), tasks, startPurpose(demand));
             return true;
         }
+        return requestAhead(demand, suitable, tasks, fit, fitWhenEmpty, share);
+    }
+
+    /** Requests verdicts or tickets that a step will need once it fits. Returns whether a question is requested. */
+    private boolean requestAhead(
+            StepDemand demand,
+            Suitable suitable,
+            int tasks,
+            ToIntFunction<CandidateWorker> fit,
+            ToIntFunction<CandidateWorker> fitWhenEmpty,
+            double share) {
         boolean isBackground = !mayAskAhead(demand);
         if (isBackground && !mayAskInBackground(demand)) {
             return false;
@@ -208,7 +218,8 @@
             addMiss(demand);
         }
         return isGang
-                ? scope.map(best -> best.learning(othersToLearn(best, suitable, fitWhenEmpty, share), cost(demand)))
+                ? scope.map(
+                        best -> best.learning(() -> othersToLearn(best, suitable, fitWhenEmpty, share), cost(demand)))
                 : scope;
     }
 
@@ -221,7 +232,7 @@
                 .filter(worker -> !named.contains(worker.id()))
                 .toList();
         return options(others, fitWhenEmpty, share).stream()
-                .map(TicketOption::withoutRoom)
+                .map(TicketOption::forVerdictOnly)
                 .toList();
     }
 
--- a/graph/src/test/java/org/lovagegrade/graph/planning/QuestionScopeTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/QuestionScopeTest.java
@@ -69,7 +69,7 @@
         void shouldLearnVerdictsOfBusyWorkersWhileTheyAreCheap() {
             QuestionScope scope =
                     QuestionScope.best(options(10, 3, 0.5), 0, 6, true, GANG).orElseThrow();
-            QuestionScope learning = scope.learning(options(200, 3, GANG_SHARE), GANG);
+            QuestionScope learning = scope.learning(() -> options(200, 3, GANG_SHARE), GANG);
 
             assertThat(learning.options().size()).isGreaterThan(scope.options().size());
             assertThat(learning.options().size() * GANG.getPerWorkerMs()).isAtMost(0.5 * GANG.getDecideMs());
@@ -81,7 +81,7 @@
             QuestionScope scope =
                     QuestionScope.best(options(10, 3, 1), 0, 6, true, GANG).orElseThrow();
 
-            assertThat(scope.learning(options(200, 3, GANG_SHARE), GANG).options())
+            assertThat(scope.learning(() -> options(200, 3, GANG_SHARE), GANG).options())
                     .hasSize(2);
         }
 
@@ -90,7 +90,7 @@
             QuestionScope scope = QuestionScope.best(options(245, 3, GANG_SHARE), 0, 20, true, GANG)
                     .orElseThrow();
 
-            assertThat(scope.learning(options(200, 3, GANG_SHARE), GANG).options())
+            assertThat(scope.learning(() -> options(200, 3, GANG_SHARE), GANG).options())
                     .hasSize(scope.options().size());
         }
 
@@ -99,7 +99,8 @@
             QuestionScope scope = QuestionScope.best(options(10, 3, 0.5), 0, 6, true, cost(100, 0))
                     .orElseThrow();
 
-            assertThat(scope.learning(options(200, 3, GANG_SHARE), cost(100, 0)).options())
+            assertThat(scope.learning(() -> options(200, 3, GANG_SHARE), cost(100, 0))
+                            .options())
                     .hasSize(QuestionScope.MAX_WORKERS);
         }
     }
--- a/graph/src/test/java/org/lovagegrade/graph/planning/QuestionedFleet.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/QuestionedFleet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -33,7 +34,7 @@
  * ask the adviser may lose their questions or vanish.
  */
 final class QuestionedFleet {
-    static final long PLAN_INTERVAL_MS = 50;
+    private static final long PLAN_INTERVAL_MS = 50;
     private static final CostOfDelay COST =
             CostOfDelay.of(WorkItem.of("j", "team", 1, Objective.within(1_000), RemainingWork.of(100, 100)), 0);
 
@@ -172,15 +173,16 @@
     }
 
     private void start(Placement placement) {
-        Job job = waiting.stream()
-                .filter(candidate -> candidate.step() == placement.step())
-                .findFirst()
-                .orElseThrow();
+        Job job = waitingJob(placement.step().name()).orElseThrow();
         job.tasks().remove(Integer.valueOf(placement.index()));
         runs.add(new Run(placement.worker().getId(), placement.step().perTask(), nowMs + job.runMs()));
         lastPlacementMs = nowMs;
     }
 
+    private Optional<Job> waitingJob(String step) {
+        return waiting.stream().filter(job -> job.step().name().equals(step)).findFirst();
+    }
+
     private List<CandidateWorker> workers() {
         Map<String, List<Run>> runsByWorker = runs.stream().collect(Collectors.groupingBy(Run::worker));
         List<CandidateWorker> workers = new ArrayList<>();
@@ -219,10 +221,9 @@
 
     private AdviceResultProto result(AdviceQuestionProto question) {
         AdviceResultProto.Builder result = AdviceResultProto.newBuilder().setNumber(question.getNumber());
-        waiting.stream()
-                .filter(job -> job.step().name().equals(question.getStep()))
+        waitingJob(question.getStep())
                 .filter(_job -> random.nextDouble() >= questionLoss)
-                .forEach(job -> {
+                .ifPresent(job -> {
                     result.setAnswered(true).setValidMs(job.queue().getAdvice().getValidMs());
                     question.getWorkersList().stream()
                             .filter(worker -> job.allowed().contains(Integer.parseInt(worker.substring(1))))
@@ -247,11 +248,9 @@
     }
 
     private long costMs(AdviceQuestionProto question) {
-        return waiting.stream()
-                .filter(job -> job.step().name().equals(question.getStep()))
-                .mapToLong(job -> (long) (job.queue().getAdvice().getDecideMs()
-                        + question.getWorkersCount() * job.queue().getAdvice().getPerWorkerMs()))
-                .findFirst()
-                .orElse(0);
+        return waitingJob(question.getStep())
+                .map(job -> job.queue().getAdvice())
+                .map(cost -> (long) (cost.getDecideMs() + question.getWorkersCount() * cost.getPerWorkerMs()))
+                .orElse(0L);
     }
 }
