--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.lovagegrade.graph.advice.AdviceBroker;
 import org.lovagegrade.graph.advice.QuestionWish;
 import org.lovagegrade.graph.machine.Evacuation;
@@ -31,6 +32,7 @@
 import org.lovagegrade.graph.planning.Planner;
 import org.lovagegrade.graph.planning.RunTimes;
 import org.lovagegrade.graph.planning.StepDemand;
+import org.lovagegrade.graph.planning.SuspectWaits;
 import org.lovagegrade.graph.planning.Urgency;
 import org.lovagegrade.graph.planning.WorkspaceQuotas;
 import org.lovagegrade.kernel.Clock;
@@ -69,6 +71,7 @@
     private final WorkAccount workAccount;
     private final JobAccounting jobAccounting;
     private final RunTimes runTimes = new RunTimes();
+    private final SuspectWaits suspectWaits = new SuspectWaits();
     private final LeavingWorkers leavingWorkers;
     private final GangReservations gangReservations = new GangReservations(this::logReservation);
     /** Starts that were proposed to the log and are not committed yet. */
@@ -242,6 +245,7 @@
         workAccount.runStarted(run, nowMs);
         driver.runStarted(run, adviceBroker.ticket(step, run.worker()), nowMs);
         jobAccounting.runStarted(run);
+        suspectWaits.forgetTask(run.key().task());
         dirty = true;
     }
 
@@ -303,6 +307,7 @@
         job.occurrences().forEach(steps -> steps.forEach(step -> adviceBroker.forgetStep(step.name())));
         health.forgetJob(job.id());
         crashingJobs.forget(job);
+        suspectWaits.forgetJob(job.id());
         workAccount.jobFinished(job);
         jobAccounting.jobFinished(job);
     }
@@ -480,9 +485,19 @@
                         dueAtMs,
                         cost,
                         index -> step.tasks().get(index).crashHistory().isSuspect(),
+                        tasksThatMayShareWorkers(step, waiting)::contains,
                         index -> health.workersToAvoid(step.key(index))));
     }
 
+    /** The waiting tasks that may crash their worker and have waited long for one without other jobs. */
+    private Set<Integer> tasksThatMayShareWorkers(StepRecord step, List<Integer> waiting) {
+        long nowMs = clock.nowMs();
+        return waiting.stream()
+                .filter(index -> step.tasks().get(index).crashHistory().isSuspect())
+                .filter(index -> suspectWaits.isOver(step.key(index), nowMs))
+                .collect(Collectors.toSet());
+    }
+
     private List<CandidateWorker> candidateWorkers(long nowMs) {
         Map<String, CandidateWorker> candidatesById = new HashMap<>();
         List<CandidateWorker> usable = new ArrayList<>();
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -111,6 +111,11 @@
         return orderSent && !isUnseen() && survivedMs(lastAnswerMs) < SOON_AFTER_START_MS;
     }
 
+    /** Whether the task may have crashed a worker before. */
+    boolean isOfSuspectTask() {
+        return run.step().tasks().get(run.key().task().index()).crashHistory().isSuspect();
+    }
+
     /** Records the checkpoint that a listing shows. */
     void recordCheckpoint(String listed, long nowMs) {
         if (!listed.isEmpty() && !listed.equals(checkpoint)) {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Isolation.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Isolation.java
@@ -9,7 +9,8 @@
 /**
  * Gives tasks that may crash their worker a worker on which no other job has runs. A job gets one such worker, and one
  * more for each of its suspect tasks that has proved harmless; all jobs together get a limited share of the fleet. So
- * such tasks neither crash many workers at once nor displace much other work.
+ * such tasks neither crash many workers at once nor displace much other work. A task for which no worker gets empty in
+ * time takes the one with the fewest runs, which is closed to further ones like an empty one.
  */
 final class Isolation {
     private static final int MAX_SHARE_DIVISOR = 3;
@@ -22,17 +23,29 @@
         this.maxWorkers = Math.max(1, workers.size() / MAX_SHARE_DIVISOR);
     }
 
-    /** Selects a worker for a suspect task among those that can host it: one that its job has already, or an empty one. */
+    /**
+     * Selects a worker for a suspect task among those that can host it: one that its job has already, an empty one, or if
+     * the task may share a worker, the one with the fewest runs.
+     */
     Optional<CandidateWorker> select(
-            StepDemand demand, List<CandidateWorker> from, Predicate<CandidateWorker> canHost) {
-        boolean mayIsolateAnother = mayIsolateAnother(demand);
+            StepDemand demand, boolean mayShareWorker, List<CandidateWorker> from, Predicate<CandidateWorker> canHost) {
+        List<CandidateWorker> open = mayIsolateAnother(demand) ? open(mayShareWorker, from) : List.of();
         return from.stream()
-                .filter(worker -> worker.isIsolatedFor(demand.job()) || (mayIsolateAnother && isUnused(worker)))
+                .filter(worker -> worker.isIsolatedFor(demand.job()) || open.contains(worker))
                 .filter(canHost)
                 .min(Comparator.<CandidateWorker>comparingInt(worker -> worker.isIsolatedFor(demand.job()) ? 0 : 1)
+                        .thenComparingInt(CandidateWorker::runs)
                         .thenComparingLong(worker -> worker.free().milliCores()));
     }
 
+    /** The workers that a suspect task may newly get, those with the fewest runs first. */
+    List<CandidateWorker> open(boolean mayShareWorker, List<CandidateWorker> from) {
+        return from.stream()
+                .filter(worker -> mayShareWorker ? !worker.isIsolated() : isUnused(worker))
+                .sorted(Comparator.comparingInt(CandidateWorker::runs))
+                .toList();
+    }
+
     private static boolean isUnused(CandidateWorker worker) {
         return worker.runs() == 0 && !worker.isIsolated();
     }
@@ -52,15 +65,11 @@
                 .count();
     }
 
-    /** The workers without runs, as far as they are among the given ones. */
-    List<CandidateWorker> unused(List<CandidateWorker> from) {
-        return from.stream().filter(Isolation::isUnused).toList();
-    }
-
-    /** The workers that a gang can have for itself. */
-    List<CandidateWorker> openToGang(String job, List<CandidateWorker> from) {
+    /** The workers that a gang can have for itself, or share if it may. */
+    List<CandidateWorker> openToGang(StepDemand demand, List<CandidateWorker> from) {
+        List<CandidateWorker> open = open(demand.maySuspectsShareWorkers(), from);
         return from.stream()
-                .filter(worker -> worker.isIsolatedFor(job) || isUnused(worker))
+                .filter(worker -> worker.isIsolatedFor(demand.job()) || open.contains(worker))
                 .toList();
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Planner.java
@@ -121,10 +121,11 @@
             if (!quotas.allows(workspace(demand), need)) {
                 return;
             }
+            boolean mayShareWorker = demand.mayShareWorker().test(index);
             Optional<CandidateWorker> selected =
-                    isolation.select(demand, candidates.allowed, worker -> hasRoom(demand, worker));
+                    isolation.select(demand, mayShareWorker, candidates.allowed, worker -> hasRoom(demand, worker));
             if (selected.isEmpty()) {
-                prepareIsolation(demand, candidates);
+                prepareIsolation(demand, mayShareWorker, candidates);
                 return;
             }
             selected.get().isolate(demand.job());
@@ -132,17 +133,24 @@
         }
     }
 
-    /** Requests tickets for empty workers, or keeps a worker free of further runs until it is empty. */
-    private void prepareIsolation(StepDemand demand, Candidates candidates) {
+    /**
+     * Requests tickets for workers on which a suspect task could start, or keeps a worker free of further runs until it
+     * is empty.
+     */
+    private void prepareIsolation(StepDemand demand, boolean mayShareWorker, Candidates candidates) {
         if (!isolation.mayIsolateAnother(demand)) {
             return;
         }
-        List<CandidateWorker> emptyAndStale = isolation.unused(candidates.stale);
-        boolean isKnown = !emptyAndStale.isEmpty();
-        List<CandidateWorker> emptyWithoutTicket = isKnown ? emptyAndStale : isolation.unused(candidates.unknown);
-        if (!emptyWithoutTicket.isEmpty()) {
-            isolation.reserve(demand.job(), emptyWithoutTicket);
-            ticketRequests.requestAny(demand, emptyWithoutTicket, isKnown);
+        List<CandidateWorker> openAndStale = openWithRoom(demand, mayShareWorker, candidates.stale);
+        boolean isKnown = !openAndStale.isEmpty();
+        List<CandidateWorker> withoutTicket =
+                isKnown ? openAndStale : openWithRoom(demand, mayShareWorker, candidates.unknown);
+        if (!withoutTicket.isEmpty()) {
+            isolation.reserve(demand.job(), withoutTicket);
+            ticketRequests.requestAny(demand, withoutTicket, isKnown);
+            return;
+        }
+        if (mayShareWorker) {
             return;
         }
         List<CandidateWorker> eligible = new ArrayList<>(candidates.allowed);
@@ -151,6 +159,12 @@
         isolation.reserve(demand.job(), eligible);
     }
 
+    private List<CandidateWorker> openWithRoom(StepDemand demand, boolean mayShareWorker, List<CandidateWorker> from) {
+        return isolation.open(mayShareWorker, from).stream()
+                .filter(worker -> !mayShareWorker || hasRoom(demand, worker))
+                .toList();
+    }
+
     /** Selects the best fit: not an avoided worker, then near the data, then with the fewest free cores. */
     private Optional<CandidateWorker> selectWorker(StepDemand demand, int index, List<CandidateWorker> from) {
         Set<String> avoided = demand.avoidedWorkers().apply(index);
@@ -202,7 +216,7 @@
         Candidates candidates = candidates(demand);
         boolean isSuspect = demand.hasSuspects();
         List<CandidateWorker> allowed =
-                isSuspect ? isolation.openToGang(demand.job(), candidates.allowed) : candidates.allowed;
+                isSuspect ? isolation.openToGang(demand, candidates.allowed) : candidates.allowed;
         List<CandidateWorker> selected = selectWorkers(demand, allowed, members);
         if (isSuspect && !isolation.mayIsolate(selected.stream().distinct().count())) {
             return;
@@ -292,8 +306,9 @@
         gangsConsidered++;
         boolean hasSuspects = demand.hasSuspects();
         int priority = hasSuspects ? HIGHEST_PRIORITY : demand.priority();
-        boolean isHeld =
-                reservations.hold(new GangRequest(demand.step(), members, priority, hasSuspects), eligible, nowMs);
+        boolean needsEmptyWorkers = hasSuspects && !demand.maySuspectsShareWorkers();
+        boolean isHeld = reservations.hold(
+                new GangRequest(demand.step(), members, priority, needsEmptyWorkers), eligible, nowMs);
         gangsWithReservation += isHeld ? 1 : 0;
     }
 
@@ -357,7 +372,7 @@
     /** Returns the workers that a gang may have, which are fewer if a member may crash its worker. */
     private List<CandidateWorker> openTo(StepDemand demand, List<CandidateWorker> from) {
         boolean isSuspectGang = demand.step().spec().getGang() && demand.hasSuspects();
-        return isSuspectGang ? isolation.openToGang(demand.job(), from) : from;
+        return isSuspectGang ? isolation.openToGang(demand, from) : from;
     }
 
     private static int fittingWhenEmpty(StepDemand demand, CandidateWorker worker, int max) {
--- a/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/StepDemand.java
@@ -17,7 +17,8 @@
  * @param urgency whether the occurrence can still meet its objective
  * @param dueAtMs when the occurrence became due, in milliseconds since 1970
  * @param cost what it costs to let the occurrence wait
- * @param isSuspect whether a task, by its number, may crash its worker and must not share it with other jobs
+ * @param isSuspect whether a task, by its number, may crash its worker and should not share it with other jobs
+ * @param mayShareWorker whether such a task may share a worker after all, since it has waited long for one of its own
  * @param avoidedWorkers the ids of workers that a task should avoid while others have free capacity, by its number
  */
 public record StepDemand(
@@ -28,6 +29,7 @@
         long dueAtMs,
         CostOfDelay cost,
         IntPredicate isSuspect,
+        IntPredicate mayShareWorker,
         IntFunction<Set<String>> avoidedWorkers) {
     boolean needsTicket() {
         return queue.hasAdvice();
@@ -41,6 +43,11 @@
         return waiting.stream().anyMatch(isSuspect::test);
     }
 
+    /** Whether the tasks that may crash their worker have waited long enough to share one; for a gang, all of them. */
+    boolean maySuspectsShareWorkers() {
+        return waiting.stream().filter(isSuspect::test).allMatch(mayShareWorker::test);
+    }
+
     int priority() {
         return queue.getPriority();
     }
--- /dev/null
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/SuspectWaits.java
@@ -0,0 +1,45 @@
+package org.lovagegrade.graph.planning;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.lovagegrade.graph.machine.TaskKey;
+
+/**
+ * Remembers since when tasks that may crash their worker have waited for one without runs of other jobs. There may never
+ * be such a worker, so a task waits for it for a limited time.
+ */
+public final class SuspectWaits {
+    /** How long a task waits before it may start beside the runs of other jobs. */
+    static final long MAX_WAIT_MS = 2_000;
+
+    private final Map<TaskKey, Long> sinceMsByTask = new HashMap<>();
+
+    /**
+     * Records that a task waits.
+     *
+     * @param task the task
+     * @param nowMs the present time, on the monotonic clock in milliseconds
+     * @return whether it has waited long enough to start beside the runs of other jobs
+     */
+    public boolean isOver(TaskKey task, long nowMs) {
+        return nowMs - sinceMsByTask.computeIfAbsent(task, _task -> nowMs) >= MAX_WAIT_MS;
+    }
+
+    /**
+     * Forgets a task that has started.
+     *
+     * @param task the task
+     */
+    public void forgetTask(TaskKey task) {
+        sinceMsByTask.remove(task);
+    }
+
+    /**
+     * Forgets the tasks of a job that has ended.
+     *
+     * @param job the id of the job
+     */
+    public void forgetJob(String job) {
+        sinceMsByTask.keySet().removeIf(task -> task.job().equals(job));
+    }
+}
--- a/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
@@ -157,6 +157,77 @@
         }
     }
 
+    /** A lasting task is at work on each worker, so that none is ever empty. */
+    @Nested
+    final class LastingTasksOnAllWorkers {
+        private static final int FEW_WORKERS = 4;
+
+        private SimulatedCell cellWithLastingTasks(long seed) {
+            SimulatedCell cell = new SimulatedCell(seed, FEW_WORKERS, 0);
+            cell.time.advance(3_000);
+            cell.submit(SimulatedCell.tasks(FEW_WORKERS, 500, false).toBuilder()
+                    .setLasting(true)
+                    .setMostPerWorker(1)
+                    .build());
+            cell.time.advance(3_000);
+            assertThat(cell.machine().runs()).hasSize(FEW_WORKERS);
+            return cell;
+        }
+
+        private void assertThatJobCompletesAfterACrash(boolean isGang) {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = cellWithLastingTasks(seed);
+                String job = cell.submit(SimulatedCell.tasks(2, 600, isGang));
+                cell.time.advance(40);
+                cell.crashWorkerOf(job);
+                cell.time.advance(12_000);
+
+                assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+                assertWithMessage("seed " + seed)
+                        .that(cell.job(job).state())
+                        .isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+            }
+        }
+
+        /** Guards against a task that never runs again after its worker crashed just after its start (LOST). */
+        @Test
+        void shouldNotKeepATaskFromRunningAfterItsWorkerCrashed() {
+            assertThatJobCompletesAfterACrash(false);
+        }
+
+        /** Guards against the same for gangs, whose members each need an empty worker. */
+        @Test
+        void shouldNotKeepAGangFromRunningAfterItsWorkerCrashed() {
+            assertThatJobCompletesAfterACrash(true);
+        }
+
+        /** Guards against starting a crashing task without limit once it may share workers, and blaming what it shared them with. */
+        @Test
+        void shouldNotKeepACrashingTaskFromBeingGivenUp() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = cellWithLastingTasks(seed);
+                List<TaskKey> crashing = submitBoth(cell, 20, step -> step % 10 == 5);
+                cell.time.advance(SETTLE_MS);
+
+                assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+                for (TaskKey task : crashing) {
+                    assertWithMessage("seed " + seed)
+                            .that(cell.job(task.job()).state())
+                            .isEqualTo(GraphStateProto.GRAPH_FAILED);
+                }
+                assertWithMessage("seed " + seed)
+                        .that(cell.job("job0").state())
+                        .isEqualTo(GraphStateProto.GRAPH_RUNNING);
+                for (String job : soundJobs) {
+                    assertWithMessage("seed " + seed + ", " + job)
+                            .that(cell.job(job).state())
+                            .isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+                }
+                soundJobs.clear();
+            }
+        }
+    }
+
     @Nested
     final class Damage {
         @Test
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -432,6 +432,21 @@
         crash(drawWorker(), 500 + random.nextInt(4_000));
     }
 
+    void crashWorkerAt(int number) {
+        crash(worker(number), REBOOT_MS);
+    }
+
+    /** Crashes a worker that has a run of the job. */
+    void crashWorkerOf(String job) {
+        SimulatedWorker crashed = workers.values().stream()
+                .filter(worker -> machine.runs().values().stream()
+                        .filter(run -> run.key().task().job().equals(job))
+                        .anyMatch(run -> worker.isRunning(run.key().task())))
+                .findFirst()
+                .orElseThrow();
+        crash(crashed, REBOOT_MS);
+    }
+
     /** Crashes some workers at the same moment, as the loss of a rack does. */
     void crashTogether(int count) {
         int first = random.nextInt(workers.size());
@@ -529,13 +544,18 @@
             }
             return;
         }
-        if (runsLast || isGangWithCrashingMember(run)) {
+        if (runsLast || isLasting(run) || isGangWithCrashingMember(run)) {
             return;
         }
         RunEndProto how = random.nextInt(20) == 0 ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
         time.after(50 + random.nextInt(1_500), () -> worker.end(run, how));
     }
 
+    private boolean isLasting(RunKey run) {
+        TaskKey task = run.task();
+        return job(task.job()).step(task.occurrence(), task.step()).spec().getLasting();
+    }
+
     /** Such a gang never completes, since its members work only together. */
     private boolean isGangWithCrashingMember(RunKey run) {
         return job(run.task().job())
--- a/graph/src/test/java/org/lovagegrade/graph/planning/AdviceLoadTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/AdviceLoadTest.java
@@ -84,6 +84,7 @@
                 0,
                 COST,
                 _index -> false,
+                _index -> false,
                 _index -> Set.of());
     }
 
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlanOrderTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlanOrderTest.java
@@ -50,6 +50,7 @@
                 dueAtMs,
                 cost(job, priority, urgency, workspace, dueAtMs),
                 _index -> false,
+                _index -> false,
                 _index -> Set.of()));
     }
 
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -43,6 +43,7 @@
     private long nowMs = 1_000;
     private Set<String> avoidedWorkers = Set.of();
     private Set<Integer> suspects = Set.of();
+    private Set<Integer> mayShareWorker = Set.of();
 
     /** Returns the verdicts that a test sets, and unknown for all others. */
     private static final class FakeAdvice implements AdviceLookup {
@@ -100,7 +101,15 @@
         List<Integer> waiting =
                 IntStream.range(0, record.tasks().size()).boxed().toList();
         return new StepDemand(
-                record, queue.build(), waiting, Urgency.IN_TIME, 0, COST, suspects::contains, _index -> avoidedWorkers);
+                record,
+                queue.build(),
+                waiting,
+                Urgency.IN_TIME,
+                0,
+                COST,
+                suspects::contains,
+                mayShareWorker::contains,
+                _index -> avoidedWorkers);
     }
 
     private static StepProto.Builder step(int count, long milliCores) {
@@ -438,6 +447,77 @@
             assertThat(workersOf(plan)).containsExactly("w0", "w0");
         }
 
+        private StepDemand longWaitingDemand(String job, boolean advice, StepProto.Builder step) {
+            suspects = Set.of(0);
+            mayShareWorker = Set.of(0);
+            StepDemand demand = demand(job, 1, advice, step);
+            suspects = Set.of();
+            mayShareWorker = Set.of();
+            return demand;
+        }
+
+        /** Guards against jobs that never start where a lasting task is at work on each worker (LOST). */
+        @Test
+        void shouldRunOnTheWorkerWithTheFewestRunsAfterALongWait() {
+            addWorkers(2);
+            addRunTo("w0", "other");
+            addRunTo("w0", "other");
+            addRunTo("w1", "other");
+
+            Plan plan = plan(longWaitingDemand("j", false, step(1, 1_000)), demand("sound", 2, false, step(2, 1_000)));
+
+            assertThat(workersOf(plan)).containsExactly("w1", "w0", "w0").inOrder();
+        }
+
+        @Test
+        void shouldStillPreferAnEmptyWorkerAfterALongWait() {
+            addWorkers(2);
+            addRunTo("w0", "other");
+
+            assertThat(workersOf(plan(longWaitingDemand("j", false, step(1, 1_000)))))
+                    .containsExactly("w1");
+        }
+
+        @Test
+        void shouldTakeNoMoreThanAThirdOfTheWorkersAfterALongWait() {
+            addWorkers(6);
+            for (int number = 0; number < 6; number++) {
+                addRunTo("w" + number, "other");
+            }
+
+            Plan plan = plan(
+                    longWaitingDemand("a", false, step(1, 1_000)),
+                    longWaitingDemand("b", false, step(1, 1_000)),
+                    longWaitingDemand("c", false, step(1, 1_000)));
+
+            assertThat(plan.placements()).hasSize(2);
+        }
+
+        /** Guards against gangs that never start where a lasting task is at work on each worker (LOST). */
+        @Test
+        void shouldHaveTheirGangRunOnWorkersInUseAfterALongWait() {
+            addWorkers(3);
+            for (int number = 0; number < 3; number++) {
+                addRunTo("w" + number, "other");
+            }
+
+            Plan plan = plan(longWaitingDemand("gang", false, step(2, 8_000).setGang(true)));
+
+            assertThat(workersOf(plan)).hasSize(2);
+        }
+
+        /** Guards against waiting for a ticket for an empty worker where none ever is. */
+        @Test
+        void shouldAskTheAdviserAboutWorkersInUseAfterALongWait() {
+            addWorkers(2);
+            addRunTo("w0", "other");
+            addRunTo("w1", "other");
+
+            Plan plan = plan(longWaitingDemand("j", true, step(1, 1_000)));
+
+            assertThat(plan.adviceRequests()).hasSize(1);
+        }
+
         @Test
         void shouldAskTheAdviserAboutEmptyWorkersOnly() {
             addWorkers(3);
@@ -632,6 +712,7 @@
                     0,
                     first.cost(),
                     first.isSuspect(),
+                    first.mayShareWorker(),
                     first.avoidedWorkers());
 
             Plan plan = plan(useless, demand("second", 2, false, step(1, 1_000)));
--- a/graph/src/test/java/org/lovagegrade/graph/planning/QuestionedFleet.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/QuestionedFleet.java
@@ -169,6 +169,7 @@
                 job.dueAtMs(),
                 COST,
                 _index -> false,
+                _index -> false,
                 _index -> Set.of());
     }
 
