--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -47,7 +47,6 @@
 import org.lovagegrade.wire.proto.RunEndProto;
 import org.lovagegrade.wire.proto.StartProto;
 import org.lovagegrade.wire.proto.StartsProto;
-import org.lovagegrade.wire.proto.WorkerGoneProto;
 import org.lovagegrade.wire.proto.WorkerProto;
 
 /** The leader's work during one term: it plans starts, drives the workers and asks the adviser. */
@@ -68,6 +67,7 @@
     private final AdviceBroker adviceBroker;
     private final WorkerHealth health = new WorkerHealth();
     private final CrashingJobs crashingJobs;
+    private final WorkerReports workerReports;
     private final WorkAccount workAccount;
     private final JobAccounting jobAccounting;
     private final RunTimes runTimes = new RunTimes();
@@ -99,6 +99,7 @@
         this.planOrder = planOrder;
         this.adviceBroker = new AdviceBroker(driver.firstIdOfTerm(), AdviceAccounting::report, metrics);
         this.crashingJobs = new CrashingJobs(proposer, metrics);
+        this.workerReports = new WorkerReports(machine, driver, proposer, metrics);
         this.workAccount = new WorkAccount(machine);
         this.jobAccounting = new JobAccounting(machine, wallClock, metrics);
         this.leavingWorkers = new LeavingWorkers(driver.timings(), runTimes);
@@ -112,6 +113,7 @@
 
     void tick(long nowMs) {
         driver.tick(nowMs);
+        workerReports.tick(nowMs);
         if (nowMs >= nextStallCheckMs) {
             nextStallCheckMs = nowMs + STALL_CHECK_INTERVAL_MS;
             stopStalled(nowMs);
@@ -166,62 +168,16 @@
      * Handles what a worker reports of itself.
      *
      * @param reported the report
-     * @param acknowledge runs if the report is outdated or holds nothing new
+     * @param acknowledge runs if the report has no effect on the log
      * @param propose takes the command that brings the report into the log otherwise
      */
     void handleWorkerReport(WorkerProto reported, Runnable acknowledge, Consumer<GraphCommandProto.Builder> propose) {
-        long nowMs = clock.nowMs();
-        WorkerRecord current = machine.workers().get(reported.getId());
-        if (current == null || current.info().getBornMs() < reported.getBornMs()) {
-            boolean isOutdated = current == null && isOlderThanAddressHolder(reported);
-            if (isOutdated) {
-                acknowledge.run();
-            } else {
-                driver.replacePredecessors(reported);
-                propose.accept(GraphCommandProto.newBuilder().setWorker(reported));
-            }
-            return;
-        }
-        boolean isStale = current.info().getBornMs() > reported.getBornMs()
-                || current.info().getSequence() > reported.getSequence();
-        if (!isStale) {
-            driver.session(reported.getId()).ifPresent(session -> session.recordReport(reported, nowMs));
-        }
-        if (isStale || isUnchanged(current.info(), reported)) {
-            acknowledge.run();
-        } else {
-            propose.accept(GraphCommandProto.newBuilder().setWorker(reported));
-        }
-    }
-
-    /** A delayed heartbeat may arrive after a later incarnation has taken over its address. */
-    private boolean isOlderThanAddressHolder(WorkerProto reported) {
-        return reported.getBornMs() != 0
-                && machine.workers().values().stream()
-                        .anyMatch(worker -> worker.info().getAddress().equals(reported.getAddress())
-                                && worker.info().getBornMs() > reported.getBornMs());
-    }
-
-    private static boolean isUnchanged(WorkerProto current, WorkerProto reported) {
-        return withoutVolatileFields(current).equals(withoutVolatileFields(reported));
+        workerReports.handle(reported, acknowledge, propose, clock.nowMs());
     }
 
-    private static WorkerProto withoutVolatileFields(WorkerProto worker) {
-        return worker.toBuilder().clearSequence().clearRemainingMs().build();
-    }
-
-    /** Marks a worker as leaving, and proposes its removal at once if nothing runs or is about to start there. */
+    /** Handles the announced end of a worker. */
     void handleWorkerLeaving(String worker, Runnable acknowledge) {
-        Optional<WorkerSession> session = driver.session(worker);
-        if (session.isPresent()) {
-            session.get().leaving = true;
-            if (session.get().record.runs().isEmpty() && !hasProposedStart(worker)) {
-                proposer.propose(GraphCommandProto.newBuilder()
-                        .setWorkerGone(WorkerGoneProto.newBuilder()
-                                .setWorker(worker)
-                                .setBornMs(session.get().info().getBornMs())));
-            }
-        }
+        workerReports.handleLeaving(worker, hasProposedStart(worker), clock.nowMs());
         acknowledge.run();
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/LeavingWorkers.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/LeavingWorkers.java
@@ -26,8 +26,8 @@
     List<RunRecord> runsToStop(Collection<WorkerSession> sessions, long nowMs) {
         List<RunRecord> toStop = new ArrayList<>();
         for (WorkerSession session : sessions) {
-            boolean isDue = session.leavesAtMs > 0
-                    && nowMs >= session.leavesAtMs - timings.stopMs() - STOP_MARGIN_MS
+            boolean isDue = session.reports.leavesAtMs() > 0
+                    && nowMs >= session.reports.leavesAtMs() - timings.stopMs() - STOP_MARGIN_MS
                     && session.info().getDraining();
             if (isDue) {
                 session.runs.values().stream()
@@ -43,6 +43,6 @@
                 && !tracker.stopRequested
                 && tracker.run.step().spec().getCheckpointing()
                 && tracker.expectedEndMs(runTimes.expectedMs(tracker.run.step()), nowMs, timings.stopMs())
-                        > session.leavesAtMs;
+                        > session.reports.leavesAtMs();
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -46,6 +46,8 @@
     private static final long MIN_STALL_MS = 2_800;
     /** Divides the estimated run time to get the stall threshold; estimates are often far too low or too high. */
     private static final long STALL_ESTIMATE_DIVISOR = 5;
+    /** The time of the last report where a new one has to be awaited, since the worker may have been cut off since. */
+    private static final long NO_REPORT_MS = 0;
     /** A worker whose lease has expired is removed after this time without an answer or a heartbeat. */
     private static final long REMOVAL_TIMEOUT_MS = 15_000;
 
@@ -144,7 +146,7 @@
 
     /** Whether runs may be started on a worker, which also takes a recent report of its capacity. */
     boolean isUsable(WorkerSession session, long nowMs) {
-        boolean isReportRecent = nowMs - session.lastHeartbeatMs <= timings.maxReportAgeMs();
+        boolean isReportRecent = nowMs - session.reports.lastReportMs() <= timings.maxReportAgeMs();
         return isReportRecent && session.isUsable(nowMs) && !isEvacuated.test(session.info());
     }
 
@@ -179,7 +181,7 @@
     /** Starts to drive a worker of an earlier leader, whose last report may be as old as the time between two of them. */
     void takeOver(WorkerRecord record, long nowMs) {
         workerChanged(record, nowMs);
-        sessions.get(record.info().getId()).lastHeartbeatMs = nowMs - timings.heartbeatMs();
+        sessions.get(record.info().getId()).reports.setLastReportMs(nowMs - timings.heartbeatMs());
     }
 
     void workerChanged(WorkerRecord record, long nowMs) {
@@ -267,12 +269,58 @@
         return session.quarantined ? LossCause.LEASE_EXPIRED : LossCause.NOT_LISTED;
     }
 
-    /** Proposes the removal of the incarnations that a worker's report proves to have ended. */
-    void replacePredecessors(WorkerProto successor) {
-        sessions.values().stream()
-                .filter(session -> isPredecessor(session.info(), successor))
-                .toList()
-                .forEach(session -> outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REPLACED));
+    // --- incarnations that others claim to succeed
+
+    /** The incarnations that hold the id or the address of a reported one and are not known to have ended. */
+    List<WorkerSession> predecessorsOf(WorkerProto reported) {
+        return sessions.values().stream()
+                .filter(session -> !session.removalProposed && isPredecessor(session.info(), reported))
+                .toList();
+    }
+
+    /**
+     * Asks the address of an incarnation which one answers there, and proposes the removal of this one if another does,
+     * or if none does and the lease has expired. Does nothing while an answer is awaited or was just received.
+     */
+    void verifyIncarnation(WorkerSession session, long nowMs) {
+        boolean mayAsk =
+                !session.verificationInFlight && !session.removalProposed && nowMs >= session.nextVerificationMs;
+        if (!mayAsk || !term.mayAct()) {
+            return;
+        }
+        session.verificationInFlight = true;
+        session.nextVerificationMs = nowMs + RETRY_DELAY_MS;
+        link.identify(
+                session.info(),
+                term.number(),
+                outcome -> replicaThread.execute(() -> {
+                    session.verificationInFlight = false;
+                    if (!term.isClosed() && sessions.get(session.id()) == session) {
+                        handleVerification(session, nowMs, outcome);
+                    }
+                }));
+    }
+
+    private void handleVerification(WorkerSession session, long askedAtMs, RenewOutcome outcome) {
+        if (outcome instanceof RenewOutcome.Listed listed) {
+            if (isOtherIncarnation(session, listed)) {
+                outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REBORN);
+            } else {
+                session.verifiedAtMs = askedAtMs;
+            }
+        } else if (outcome instanceof RenewOutcome.Refused refused && refused.reason() == OrderRefusal.OTHER_LIFE) {
+            outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
+        } else if (outcome instanceof RenewOutcome.Refused refused && refused.reason() == OrderRefusal.FENCED) {
+            term.markFencedOut();
+        } else if (clock.nowMs() >= leasesExpiredAtMs(session)) {
+            outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REPLACED);
+        }
+    }
+
+    private static boolean isOtherIncarnation(WorkerSession session, RenewOutcome.Listed listed) {
+        return listed.bornMs() != 0
+                && session.info().getBornMs() != 0
+                && listed.bornMs() != session.info().getBornMs();
     }
 
     private static boolean isPredecessor(WorkerProto worker, WorkerProto successor) {
@@ -381,7 +429,7 @@
         } else if (outcome instanceof RenewOutcome.Unanswered unanswered) {
             session.incarnationUnconfirmed = true;
             if (!session.activated) {
-                session.forgetReport();
+                session.reports.setLastReportMs(NO_REPORT_MS);
             }
             boolean failedBeforeTimeout = nowMs - requestedAtMs < LISTING_WAIT_MS;
             if (failedBeforeTimeout) {
@@ -390,16 +438,14 @@
                 session.recordUnanswered(nowMs);
             }
             session.nextRenewalMs = nowMs + RETRY_DELAY_MS;
-            if (unanswered.refusedConnection() && session.leaving) {
+            if (unanswered.refusedConnection() && session.reports.isEndAnnounced()) {
                 outcomeProposer.proposeRemoval(session, WorkerRemovalReason.LEFT);
             }
         }
     }
 
     private void handleListing(WorkerSession session, long requestedAtMs, RenewOutcome.Listed listed, long nowMs) {
-        if (listed.bornMs() != 0
-                && session.info().getBornMs() != 0
-                && listed.bornMs() != session.info().getBornMs()) {
+        if (isOtherIncarnation(session, listed)) {
             outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REBORN);
             return;
         }
@@ -437,13 +483,17 @@
 
     // --- lost workers
 
-    private void giveUpIfLeaseExpired(WorkerSession session, long nowMs) {
-        long leasesExpiredAtMs = Math.max(
+    /** When all leases are sure to have expired that this leader and earlier ones granted to an incarnation. */
+    private long leasesExpiredAtMs(WorkerSession session) {
+        return Math.max(
                 session.clock.isKnown() ? session.clock.leasesExpiredAtMs() : 0,
                 WorkerClock.earlierLeasesExpiredAtMs(timings.leaseMs(), term.sinceMs()));
+    }
+
+    private void giveUpIfLeaseExpired(WorkerSession session, long nowMs) {
         boolean hasNothingToGiveUp = !session.activated && session.runs.isEmpty();
         boolean mayHoldLease = safeguards.awaitLeaseExpiry()
-                ? nowMs < leasesExpiredAtMs
+                ? nowMs < leasesExpiredAtMs(session)
                 : nowMs - session.lastAnswerMs < RETRY_DELAY_MS * 2;
         if (mayHoldLease) {
             return;
@@ -478,11 +528,12 @@
     }
 
     private void removeIfUnresponsive(WorkerSession session, long nowMs) {
-        boolean isUnresponsive = nowMs - Math.max(session.lastAnswerMs, session.lastHeartbeatMs) > REMOVAL_TIMEOUT_MS;
+        boolean isUnresponsive =
+                nowMs - Math.max(session.lastAnswerMs, session.reports.lastReportMs()) > REMOVAL_TIMEOUT_MS;
         boolean isProposed = session.removalProposed;
-        if ((session.leaving || isUnresponsive) && !isProposed) {
+        if ((session.reports.isEndAnnounced() || isUnresponsive) && !isProposed) {
             outcomeProposer.proposeRemoval(
-                    session, session.leaving ? WorkerRemovalReason.LEFT : WorkerRemovalReason.SILENT);
+                    session, session.reports.isEndAnnounced() ? WorkerRemovalReason.LEFT : WorkerRemovalReason.SILENT);
         }
     }
 }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerRemovalReason.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerRemovalReason.java
@@ -6,7 +6,7 @@
     OTHER_LIFE("otherLife", true),
     /** The worker listed its runs as another incarnation. */
     REBORN("reborn", true),
-    /** Another incarnation reported itself. */
+    /** Another incarnation reported itself, and this one doesn't answer although its lease has expired. */
     REPLACED("replaced", true),
     /** The worker announced its end and is gone. */
     LEFT("left", false),
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -25,6 +25,8 @@
     /** Longer than the time between two answers, since a crash is only known to lie between two of them. */
     private static final long HARMLESS_MARGIN_MS = 2_000;
 
+    private static final long NEVER_VERIFIED = -1;
+
     /** For so long after an unanswered order, gangs avoid the worker; about as long as partitions of single workers last. */
     private static final long RECENTLY_SILENT_MS = 10_000;
 
@@ -46,10 +48,11 @@
 
     /** The worker has seen the fencing token of this term and had no abandoned runs; it may get leases and orders. */
     boolean activated;
+    /** What the worker has reported lately. */
+    final ReportHistory reports;
+
     /** The worker gets no leases and no starts until it answers and all its abandoned runs are stopped. */
     boolean quarantined;
-    /** The worker has announced that it is leaving. */
-    boolean leaving;
     /** A renewal, or the stop of an abandoned run sent in its place, awaits its answer. */
     boolean renewalInFlight;
     /** A renewal went unanswered, and the worker has not listed its runs since; it may be another incarnation. */
@@ -61,9 +64,6 @@
 
     private long lastUnansweredMs = -RECENTLY_SILENT_MS;
 
-    /** When the worker, which has announced its end, leaves by its last report; 0 if that is unknown. */
-    long leavesAtMs;
-
     /** The connection of a renewal broke, and no answer has arrived since. */
     private boolean connectionBroken;
 
@@ -71,12 +71,18 @@
     /** Another incarnation has started without this one having announced its end. */
     boolean crashed;
 
+    /** The worker was asked which incarnation it is, and its answer is awaited. */
+    boolean verificationInFlight;
+
+    long nextVerificationMs;
+    /** When the last question was asked to which this incarnation answered. */
+    long verifiedAtMs = NEVER_VERIFIED;
+
     long nextRenewalMs;
     long lastAnswerMs;
     /** When the worker last listed its runs as this incarnation. */
     long lastListedMs;
 
-    long lastHeartbeatMs;
     /** The number of the last end that was proposed to the log. */
     long proposedCursor;
 
@@ -86,7 +92,7 @@
         this.record = record;
         this.lateStarts = lateStarts;
         this.lastAnswerMs = nowMs;
-        this.lastHeartbeatMs = nowMs;
+        this.reports = new ReportHistory(record.info(), nowMs);
         this.proposedCursor = record.cursor();
     }
 
@@ -104,17 +110,6 @@
         connectionBroken = false;
     }
 
-    /** Records what changes with every report; all else in it comes through the log. */
-    void recordReport(WorkerProto reported, long nowMs) {
-        lastHeartbeatMs = nowMs;
-        leavesAtMs = reported.getRemainingMs() > 0 ? nowMs + reported.getRemainingMs() : 0;
-    }
-
-    /** Waits for a new report: the worker may have been cut off since an earlier leader received the last one. */
-    void forgetReport() {
-        lastHeartbeatMs = 0;
-    }
-
     void recordUnanswered(long nowMs) {
         lastUnansweredMs = nowMs;
         if (!lastOrderUnanswered) {
@@ -198,7 +193,7 @@
 
     /** Whether the worker has announced its end. */
     boolean isLeaving() {
-        return leaving || info().getDraining();
+        return reports.isEndAnnounced() || info().getDraining();
     }
 
     /** Whether runs may be started on this worker. */
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
@@ -136,6 +136,20 @@
         return Optional.ofNullable(knownQueues.get(name));
     }
 
+    /**
+     * Whether a version of the configuration has named a pool.
+     *
+     * @param pool its name
+     * @return true if the present version or the last one of a queue names it, or before the first version
+     */
+    public boolean isKnownPool(String pool) {
+        return configuration == null
+                || configuration.proto().getPoolsList().stream()
+                        .anyMatch(known -> known.getName().equals(pool))
+                || knownQueues.values().stream()
+                        .anyMatch(queue -> queue.getPool().equals(pool));
+    }
+
     /**
      * The failure domains in which nothing may be started.
      *
--- a/graph/src/main/java/org/lovagegrade/graph/worker/WorkerLink.java
+++ b/graph/src/main/java/org/lovagegrade/graph/worker/WorkerLink.java
@@ -34,6 +34,17 @@
      */
     void renew(WorkerProto worker, RenewOrder order, Consumer<RenewOutcome> result);
 
+    /**
+     * Asks which incarnation answers at a worker's address, without waiting for orders and renewals that are under way.
+     * The answer shows that this incarnation is up, or refuses the question as another one; nothing is changed there but
+     * the highest fencing token.
+     *
+     * @param worker the incarnation that is expected to answer
+     * @param fencingToken the term of the leader that asks
+     * @param result receives the outcome
+     */
+    void identify(WorkerProto worker, long fencingToken, Consumer<RenewOutcome> result);
+
     /**
      * Closes the connections to a worker that has been removed.
      *
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -394,12 +394,19 @@
                 && !silent.contains(worker.info().getAddress());
         boolean isDue = random.nextInt(100) == 0 || time.nowMs() % HEARTBEAT_MS < TICK_MS;
         if (isReachable && isDue) {
+            worker.countReport();
             long ownTerm = term;
             leader.duties()
                     .handleWorkerReport(worker.info(), () -> {}, command -> commit(ownTerm, command, _reply -> {}));
         }
     }
 
+    /** Delivers a report that another writer has made up. */
+    void report(WorkerProto reported) {
+        long ownTerm = term;
+        leader.duties().handleWorkerReport(reported, () -> {}, command -> commit(ownTerm, command, _reply -> {}));
+    }
+
     private void boot(String address, String id) {
         WorkerProto info = WorkerProto.newBuilder()
                 .setId(id)
@@ -463,11 +470,25 @@
     }
 
     void partitionOne(long lengthMs) {
-        String address = drawWorker().info().getAddress();
+        partition(drawWorker(), lengthMs);
+    }
+
+    /** Cuts a worker off for a time. */
+    void partition(int number, long lengthMs) {
+        partition(worker(number), lengthMs);
+    }
+
+    private void partition(SimulatedWorker worker, long lengthMs) {
+        String address = worker.info().getAddress();
         partitioned.add(address);
         time.after(lengthMs, () -> partitioned.remove(address));
     }
 
+    /** What a worker reports of itself. */
+    WorkerProto reportOf(int number) {
+        return worker(number).info();
+    }
+
     /** Announces that a worker leaves, which reports nothing after that but goes on with its runs. */
     void leave(int number) {
         WorkerProto leaving = worker(number).info();
@@ -475,6 +496,11 @@
         leader.duties().handleWorkerLeaving(leaving.getId(), () -> {});
     }
 
+    /** Announces the end of a worker in its name. */
+    void announceEnd(int number) {
+        leader.duties().handleWorkerLeaving(worker(number).info().getId(), () -> {});
+    }
+
     /** Shrinks a worker to a half of its capacity, or lets a shrunk one grow again. */
     void resizeOne() {
         SimulatedWorker worker = drawWorker();
@@ -691,7 +717,7 @@
 
     private void execute(WorkerProto to, Order order, boolean isLate, Consumer<OrderOutcome> result) {
         SimulatedWorker worker = workers.get(to.getAddress());
-        if (!worker.isUp()) {
+        if (worker == null || !worker.isUp()) {
             result.accept(new OrderOutcome.NotSent());
         } else if (!isAddressee(worker, to)) {
             result.accept(new OrderOutcome.Refused(OrderRefusal.OTHER_LIFE));
@@ -713,7 +739,7 @@
         }
         time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
             SimulatedWorker worker = workers.get(to.getAddress());
-            boolean isReachable = worker.isUp() && !partitioned.contains(to.getAddress());
+            boolean isReachable = worker != null && worker.isUp() && !partitioned.contains(to.getAddress());
             if (isReachable && !isAddressee(worker, to)) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
             } else if (isReachable) {
@@ -724,6 +750,11 @@
         });
     }
 
+    @Override
+    public void identify(WorkerProto worker, long fencingToken, Consumer<RenewOutcome> result) {
+        renew(worker, new RenewOrder(fencingToken, 0, 0, 0), result);
+    }
+
     private void renewLate(WorkerProto to, RenewOrder order) {
         SimulatedWorker worker = workers.get(to.getAddress());
         if (worker.isUp() && isAddressee(worker, to)) {
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedLeaderLink.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedLeaderLink.java
@@ -52,6 +52,11 @@
         cell.renew(worker, order, result);
     }
 
+    @Override
+    public void identify(WorkerProto worker, long fencingToken, Consumer<RenewOutcome> result) {
+        cell.identify(worker, fencingToken, result);
+    }
+
     @Override
     public void disconnect(WorkerProto worker) {
         cell.disconnect(worker);
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -67,6 +67,11 @@
                         .build();
     }
 
+    /** Gives the next report a higher number. */
+    void countReport() {
+        info = info.toBuilder().setSequence(info.getSequence() + 1).build();
+    }
+
     /** Announces the end of this incarnation, which the next heartbeat shows. */
     void drain(long remainingMs) {
         info = info.toBuilder().setSequence(info.getSequence() + 1).build();
