--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
@@ -193,17 +193,17 @@
     // --- configuration
 
     private GraphReplyProto configure(FleetDocumentProto submitted) {
-        long currentVersion =
-                configuration == null ? Long.MIN_VALUE : configuration.proto().getVersion();
-        if (submitted.getVersion() == currentVersion
-                && !submitted.getSource().equals(configuration.proto().getSource())) {
-            return configurationReply(false, "version " + currentVersion + " is in force with other content");
-        }
-        if (submitted.getVersion() > currentVersion) {
+        if (configuration == null
+                || submitted.getVersion() > configuration.proto().getVersion()) {
             install(FleetConfiguration.of(submitted));
             listener.configurationChanged();
+            return configurationReply(true, "");
         }
-        return configurationReply(true, "");
+        boolean isOtherContent = submitted.getVersion() == configuration.proto().getVersion()
+                && !submitted.getSource().equals(configuration.proto().getSource());
+        return isOtherContent
+                ? configurationReply(false, "version " + submitted.getVersion() + " is in force with other content")
+                : configurationReply(true, "");
     }
 
     private void install(FleetConfiguration installed) {
@@ -242,6 +242,14 @@
     // --- jobs
 
     private GraphReplyProto submit(GraphProto graph) {
+        Optional<String> fault = GraphLimits.faultOf(graph);
+        if (fault.isPresent()) {
+            return GraphReplyProto.newBuilder()
+                    .setCaller(CallerReplyProto.newBuilder()
+                            .setOutcome(CallerOutcomeProto.CALLER_INVALID)
+                            .setReason(fault.get()))
+                    .build();
+        }
         if (jobs.find(graph.getId()).isEmpty()) {
             JobRecord job = new JobRecord(graph, clockMs);
             jobs.add(job);
