The wait of a suspect task counts from when it waits, not from when a plan reaches it

All members of a gang wait at the same time; the first version began to count for a member only once those before it had waited for 2 s. Found by reading; CrashingTaskTest, PlannerTest: green. Steps without suspects cost no set in each plan any more.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.lovagegrade.graph.advice.AdviceBroker;
 import org.lovagegrade.graph.advice.QuestionWish;
 import org.lovagegrade.graph.machine.Evacuation;
@@ -421,6 +420,7 @@
         if (step.isDone() || step.waitingTasks() == 0 || !step.isReady()) {
             return Optional.empty();
         }
+        long nowMs = clock.nowMs();
         List<Integer> waiting = new ArrayList<>();
         boolean isGang = step.spec().getGang();
         int gangRun = isGang ? step.nextGangRun() : 0;
@@ -429,6 +429,9 @@
             int run = isGang ? gangRun : task.run() + 1;
             if (task.isWaiting() && !proposedStarts.containsKey(new RunKey(step.key(index), run))) {
                 waiting.add(index);
+                if (task.crashHistory().isSuspect()) {
+                    suspectWaits.record(step.key(index), nowMs);
+                }
             }
         }
         return waiting.isEmpty()
@@ -441,19 +444,10 @@
                         dueAtMs,
                         cost,
                         index -> step.tasks().get(index).crashHistory().isSuspect(),
-                        tasksThatMayShareWorkers(step, waiting)::contains,
+                        index -> suspectWaits.isOver(step.key(index), nowMs),
                         index -> health.workersToAvoid(step.key(index))));
     }
 
-    /** The waiting tasks that may crash their worker and have waited long for one without other jobs. */
-    private Set<Integer> tasksThatMayShareWorkers(StepRecord step, List<Integer> waiting) {
-        long nowMs = clock.nowMs();
-        return waiting.stream()
-                .filter(index -> step.tasks().get(index).crashHistory().isSuspect())
-                .filter(index -> suspectWaits.isOver(step.key(index), nowMs))
-                .collect(Collectors.toSet());
-    }
-
     private List<CandidateWorker> candidateWorkers(long nowMs) {
         Map<String, CandidateWorker> candidatesById = new HashMap<>();
         List<CandidateWorker> usable = new ArrayList<>();
--- a/graph/src/main/java/org/lovagegrade/graph/planning/SuspectWaits.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/SuspectWaits.java
@@ -15,14 +15,24 @@
     private final Map<TaskKey, Long> sinceMsByTask = new HashMap<>();
 
     /**
-     * Records that a task waits.
+     * Records that a task waits, from the first call on.
      *
      * @param task the task
      * @param nowMs the present time, on the monotonic clock in milliseconds
-     * @return whether it has waited long enough to start beside the runs of other jobs
+     */
+    public void record(TaskKey task, long nowMs) {
+        sinceMsByTask.putIfAbsent(task, nowMs);
+    }
+
+    /**
+     * Whether a task has waited long enough to start beside the runs of other jobs.
+     *
+     * @param task the task
+     * @param nowMs the present time, on the monotonic clock in milliseconds
+     * @return false also if the task isn't known to wait
      */
     public boolean isOver(TaskKey task, long nowMs) {
-        return nowMs - sinceMsByTask.computeIfAbsent(task, _task -> nowMs) >= MAX_WAIT_MS;
+        return nowMs - sinceMsByTask.getOrDefault(task, nowMs) >= MAX_WAIT_MS;
     }
 
     /**
