--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -144,10 +144,14 @@
         return timings;
     }
 
+    /** Whether the last report of a worker is so recent that its capacity may be relied on. */
+    boolean isReportRecent(WorkerSession session, long nowMs) {
+        return nowMs - session.reports.lastReportMs() <= timings.maxReportAgeMs();
+    }
+
     /** Whether runs may be started on a worker, which also takes a recent report of its capacity. */
     boolean isUsable(WorkerSession session, long nowMs) {
-        boolean isReportRecent = nowMs - session.reports.lastReportMs() <= timings.maxReportAgeMs();
-        return isReportRecent && session.isUsable(nowMs) && !isEvacuated.test(session.info());
+        return isReportRecent(session, nowMs) && session.isUsable(nowMs) && !isEvacuated.test(session.info());
     }
 
     /**
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerReports.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerReports.java
@@ -61,7 +61,7 @@
         }
         if (isOutdated(current.info(), reported, nowMs)) {
             acknowledge.run();
-        } else if (!isSameIncarnation(current.info(), reported)) {
+        } else if (contradicts(current.info(), reported, nowMs)) {
             ignore(reported, IgnoredReport.CONTRADICTION, acknowledge);
         } else {
             driver.session(reported.getId())
@@ -139,11 +139,20 @@
         acknowledge.run();
     }
 
-    /** Whether two reports agree on what stays the same for as long as an incarnation lives. */
-    private static boolean isSameIncarnation(WorkerProto current, WorkerProto reported) {
-        return current.getAddress().equals(reported.getAddress())
-                && current.getPool().equals(reported.getPool())
+    /**
+     * Whether a report differs from the known one in what stays the same for as long as an incarnation lives. If only such
+     * reports arrive, the known one was not the worker's own; but its address is left to its answers and its lease.
+     */
+    private boolean contradicts(WorkerProto current, WorkerProto reported, long nowMs) {
+        if (!current.getAddress().equals(reported.getAddress())) {
+            return true;
+        }
+        boolean isSame = current.getPool().equals(reported.getPool())
                 && current.getInstance().equals(reported.getInstance());
+        return !isSame
+                && driver.session(reported.getId())
+                        .filter(session -> driver.isReportRecent(session, nowMs))
+                        .isPresent();
     }
 
     private static boolean isUnchanged(WorkerProto current, WorkerProto reported) {
--- a/graph/src/test/java/org/lovagegrade/graph/leader/ForeignReportTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/ForeignReportTest.java
@@ -149,6 +149,22 @@
             assertThat(cell.machine().runs().keySet()).containsAtLeastElementsIn(runsBefore);
         }
 
+        /** Guards against a worker whose own reports count as contradictions for good, since a foreign one came first. */
+        @Test
+        void shouldKeepTheWorkersInUseThatAnotherWriterDescribedFirst() {
+            for (int number = 0; number < WORKERS; number++) {
+                cell.crashWorkerAt(number);
+            }
+            cell.time.advance(3_001);
+            for (int number = 0; number < WORKERS; number++) {
+                cell.report(
+                        cell.reportOf(number).toBuilder().setInstance("other").build());
+            }
+            cell.time.advance(20_000);
+
+            assertThatNewTasksStart();
+        }
+
         private void assertThatNewTasksStart() {
             String job = cell.submit(SimulatedCell.tasks(WORKERS, 100, false));
             cell.time.advance(5_000);
