--- a/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/LeaderScheduler.java
@@ -43,7 +43,7 @@
     private final Metrics metrics;
     private final Scheduler scheduler = Scheduler.with(Policy.current());
     private final LeaseTable leases = new LeaseTable();
-    private final WorkerRegistry workers = new WorkerRegistry();
+    private final WorkerRegistry workers;
     private final HeartbeatResponder responder;
     private final Evacuations evacuations;
     private final Optional<SubmissionControl> submissions;
@@ -70,6 +70,7 @@
         this.machine = machine;
         this.proposer = proposer;
         this.metrics = metrics;
+        this.workers = new WorkerRegistry(nowMs);
         this.responder = new HeartbeatResponder(machine, leases);
         this.evacuations = new Evacuations(machine, scheduler, responder, nowMs);
         this.wallOffsetMs = wallMs - nowMs;
@@ -252,6 +253,13 @@
         if (kind == WorkerRegistry.HeartbeatKind.STALE) {
             return;
         }
+        if (kind == WorkerRegistry.HeartbeatKind.UNPROVEN) {
+            Log.event("successionUnproven")
+                    .with("worker", worker)
+                    .with("bootId", heartbeat.getBootId())
+                    .info();
+            return;
+        }
         if (kind == WorkerRegistry.HeartbeatKind.RESTARTED) {
             Log.event("workerAnnounced")
                     .with("worker", worker)
--- a/state/src/main/java/org/lovagegrade/state/scheduling/WorkerRegistry.java
+++ b/state/src/main/java/org/lovagegrade/state/scheduling/WorkerRegistry.java
@@ -15,7 +15,19 @@
     /** How long after its last contact a worker is removed from the registry, in milliseconds. */
     private static final long REMOVE_AFTER_MS = 3_600_000;
 
+    /**
+     * A process that was heard within this time goes on reporting itself if it is up, in milliseconds. A process that
+     * reports itself under the same id meanwhile has not proved to be its successor.
+     */
+    static final long SUCCESSION_SILENCE_MS = 2_000;
+
     private final Map<String, LastHeartbeat> workers = new HashMap<>();
+    private final long startedAtMs;
+
+    /** Creates a registry that was started at the given time; workers may have been heard until then. */
+    WorkerRegistry(long startedAtMs) {
+        this.startedAtMs = startedAtMs;
+    }
 
     /** The last heartbeat of a worker, and whether it is unresponsive since. */
     private record LastHeartbeat(Worker spec, String bootId, long lastContactMs, boolean unresponsive) {}
@@ -28,6 +40,8 @@
         UPDATED,
         /** A new process, which runs none of the attempts assigned to the worker. */
         RESTARTED,
+        /** A process that claims to succeed one that was heard just now, by mistake or in another writer's words. */
+        UNPROVEN,
         /** A delayed heartbeat of a process that has been replaced since. */
         STALE
     }
@@ -38,9 +52,12 @@
         if (current != null && current.bootId().compareTo(bootId) > 0) {
             return HeartbeatKind.STALE;
         }
-        LastHeartbeat previous = workers.put(spec.id(), new LastHeartbeat(spec, bootId, nowMs, false));
         boolean isRestarted = holdsAttemptsOfOtherBoot
-                || (previous != null && !previous.bootId().equals(bootId));
+                || (current != null && !current.bootId().equals(bootId));
+        if (isRestarted && nowMs - lastContactMs(current) < SUCCESSION_SILENCE_MS) {
+            return HeartbeatKind.UNPROVEN;
+        }
+        LastHeartbeat previous = workers.put(spec.id(), new LastHeartbeat(spec, bootId, nowMs, false));
         if (isRestarted) {
             return HeartbeatKind.RESTARTED;
         }
@@ -49,6 +66,10 @@
         return isUnchanged ? HeartbeatKind.UNCHANGED : HeartbeatKind.UPDATED;
     }
 
+    private long lastContactMs(LastHeartbeat last) {
+        return last == null ? startedAtMs : last.lastContactMs();
+    }
+
     Optional<String> bootId(String worker) {
         return Optional.ofNullable(workers.get(worker)).map(LastHeartbeat::bootId);
     }
