An isolated job waits 30 s at most for a worker without other jobs (the product's own scheduler; LOST)

Found by reading. RestartingWorkerTest.ServicesOnAllWorkers.

After 30 s the job may share a worker, which is closed to others while its tasks run there; a restart under them begins the wait anew and counts against the isolated job alone, so that a service beside it isn't given up in its place. The cap of five restarts is as it was.

--- a/core/src/main/java/org/lovagegrade/core/internal/Engine.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Engine.java
@@ -43,7 +43,7 @@
         this.stopping = new Stopping(cell, log, timers);
         this.preemption = new Preemption(cell, stopping, timers);
         this.reservation = new Reservation(cell, timers);
-        this.lifecycle = new Lifecycle(cell, log, placement, stopping, feasibility);
+        this.lifecycle = new Lifecycle(cell, log, placement, stopping, feasibility, timers);
     }
 
     /**
@@ -238,7 +238,9 @@
         for (int i = 0; i < job.tasks.length; i++) {
             job.tasks[i].attemptNumber = restored.attempts().get(i);
             job.tasks[i].restarts = restored.restarts().get(i);
-            job.isolated |= job.tasks[i].restarts.isSuspect();
+            if (job.tasks[i].restarts.isSuspect()) {
+                lifecycle.isolate(job, nowMs);
+            }
         }
         for (int ended : restored.endedTasks()) {
             job.tasks[ended].phase = TaskPhase.ENDED;
--- a/core/src/main/java/org/lovagegrade/core/internal/JobState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/JobState.java
@@ -32,6 +32,8 @@
     boolean failedPermanently;
     /** Its tasks share no worker with other jobs, since workers restarted under them. */
     boolean isolated;
+    /** Its tasks may share workers all the same, since none without other jobs was found in time. */
+    boolean mayShareWorkers;
 
     boolean blockedByCapacity;
     Reason waitReason = Reason.NOT_WAITING;
@@ -39,6 +41,7 @@
     long waitingSinceMs;
     long nextPreemptionMs;
     long reservedUntilMs;
+    long isolationWaitEndsMs;
 
     JobState(Job spec, WorkClass workClass, WorkspaceState workspace, long sequence) {
         this.spec = spec;
@@ -64,6 +67,11 @@
         return workClass.kind() == ClassKind.SERVICE;
     }
 
+    /** Whether its tasks may only be placed on workers without tasks of other jobs. */
+    boolean needsOwnWorker() {
+        return isolated && !mayShareWorkers;
+    }
+
     boolean isUrgent() {
         return workClass.isUrgent();
     }
--- a/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Lifecycle.java
@@ -17,23 +17,33 @@
     private static final int MAX_BACKOFF_SHIFT = 6;
     /** Workers that restart within this time of each other have probably restarted for the same cause. */
     private static final long COMMON_FAULT_MS = 1_000;
+    /** How long a job waits for a worker without other jobs; there may never be one. */
+    private static final long MAX_ISOLATION_WAIT_MS = 30_000;
 
     private final Cell cell;
     private final DecisionLog log;
     private final Placement placement;
     private final Stopping stopping;
     private final Feasibility feasibility;
+    private final Timers timers;
     private Restart lastRestart;
 
     /** The restart of a worker. */
     private record Restart(WorkerState worker, long atMs) {}
 
-    Lifecycle(Cell cell, DecisionLog log, Placement placement, Stopping stopping, Feasibility feasibility) {
+    Lifecycle(
+            Cell cell,
+            DecisionLog log,
+            Placement placement,
+            Stopping stopping,
+            Feasibility feasibility,
+            Timers timers) {
         this.cell = cell;
         this.log = log;
         this.placement = placement;
         this.stopping = stopping;
         this.feasibility = feasibility;
+        this.timers = timers;
     }
 
     /** Queues a new job, or marks it unschedulable if it can't run. */
@@ -106,9 +116,11 @@
                 lastRestart != null && lastRestart.worker != worker && nowMs - lastRestart.atMs < COMMON_FAULT_MS;
         Reason reason = isCommonFault ? Reason.WORKERS_RESTARTED : Reason.WORKER_RESTARTED;
         lastRestart = new Restart(worker, nowMs);
+        JobState suspect = worker.isolatedFor;
         for (TaskState task : List.copyOf(worker.tasks)) {
             log.aboutAttempt(Action.FAIL, task.attempt(), reason);
-            if (!isCommonFault) {
+            boolean isBlamed = suspect == null || suspect == task.job;
+            if (!isCommonFault && isBlamed) {
                 task.restarts = task.restarts.plus(nowMs - task.placedAtMs);
             }
             cell.release(task);
@@ -128,8 +140,26 @@
             placement.requeue(job, nowMs);
             removeIfFinished(job);
         } else if (task.restarts.isSuspect()) {
-            job.isolated = true;
-            reserveOwnWorker(job);
+            isolate(job, nowMs);
+        }
+    }
+
+    /** Keeps a job apart from others for as long as some worker gets free for it in time. */
+    void isolate(JobState job, long nowMs) {
+        job.isolated = true;
+        job.mayShareWorkers = false;
+        reserveOwnWorker(job);
+        long untilMs = nowMs + MAX_ISOLATION_WAIT_MS;
+        job.isolationWaitEndsMs = untilMs;
+        timers.at(untilMs, () -> endIsolationWait(job, untilMs));
+    }
+
+    private void endIsolationWait(JobState job, long untilMs) {
+        boolean isLatestWait = job.isolationWaitEndsMs == untilMs;
+        if (isLatestWait) {
+            job.mayShareWorkers = true;
+            cell.unreserveAll(job);
+            placement.requeue(job, untilMs);
         }
     }
 
--- a/core/src/main/java/org/lovagegrade/core/internal/WorkerState.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/WorkerState.java
@@ -33,7 +33,7 @@
     /** Whether isolation of the job or of one that runs here forbids the job to share this worker. */
     boolean isClosedTo(JobState job) {
         boolean isOthersOwn = isolatedFor != null && isolatedFor != job;
-        return isOthersOwn || (job.isolated && tasks.stream().anyMatch(task -> task.job != job));
+        return isOthersOwn || (job.needsOwnWorker() && tasks.stream().anyMatch(task -> task.job != job));
     }
 
     /** Whether the worker accepts new attempts other than probes. */
--- a/core/src/test/java/org/lovagegrade/core/RestartingWorkerTest.java
+++ b/core/src/test/java/org/lovagegrade/core/RestartingWorkerTest.java
@@ -74,6 +74,45 @@
         }
     }
 
+    /** A service is at work on each worker, so that none is ever without other jobs. */
+    @Nested
+    final class ServicesOnAllWorkers {
+        private static final int WORKERS = 4;
+
+        private void startServices() {
+            cell.workClass("service", ClassKind.SERVICE, 0, 0)
+                    .submit("web", "team", "service", WORKERS, 5)
+                    .advanceTo(1);
+            assertThat(cell.runningTasks("web")).isEqualTo(WORKERS);
+        }
+
+        /** Guards against a job that never runs again after two workers restarted under it (LOST). */
+        @Test
+        void shouldNotKeepASuspectJobFromRunning() {
+            startServices();
+            cell.submit("suspect", "team", "batch", 1, 1).advanceTo(2);
+
+            restartWorkersOf("suspect", 2);
+            cell.advanceTo(cell.nowMs() + 40_000);
+
+            assertThat(cell.runningTasks("suspect")).isEqualTo(1);
+        }
+
+        /** Guards against a crashing job that is started without limit, or a service that is given up in its place. */
+        @Test
+        void shouldBeKeptWhileACrashingJobIsGivenUp() {
+            startServices();
+            cell.submit("crashing", "team", "batch", 1, 1).advanceTo(2);
+
+            restartWorkersOf("crashing", 300);
+
+            assertThat(cell.decisions(Action.PLACE, "crashing").size()).isAtMost(MAX_STARTS_OF_CRASHING_TASK);
+            assertThat(reasonsOfFailure("crashing")).contains(Reason.CRASHES_WORKERS);
+            assertThat(reasonsOfFailure("web")).doesNotContain(Reason.CRASHES_WORKERS);
+            assertThat(cell.runningTasks("web")).isEqualTo(WORKERS);
+        }
+    }
+
     @Nested
     final class SoundJobs {
         @Test
