A suspect under which no worker is known to have crashed need not wait for others (LOST)

A task that is a suspect only because its worker fell silent has no crash to hold against it. Once it has waited 2 s it is planned like any other, and closes no worker that it shares. If it does crash workers, the first crash that is noticed makes it a suspect as before, and the cap of five holds.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.lovagegrade.graph.advice.AdviceBroker;
 import org.lovagegrade.graph.advice.QuestionWish;
+import org.lovagegrade.graph.machine.CrashHistory;
 import org.lovagegrade.graph.machine.Evacuation;
 import org.lovagegrade.graph.machine.GraphStateListener;
 import org.lovagegrade.graph.machine.GraphStateMachine;
@@ -443,11 +444,18 @@
                         urgency,
                         dueAtMs,
                         cost,
-                        index -> step.tasks().get(index).crashHistory().isSuspect(),
+                        index -> isToBeKeptApart(step, index, nowMs),
                         index -> suspectWaits.isOver(step.key(index), nowMs),
                         index -> health.workersToAvoid(step.key(index))));
     }
 
+    /** A task under which no worker is known to have crashed is kept apart only for as long as it need not wait for that. */
+    private boolean isToBeKeptApart(StepRecord step, int index, long nowMs) {
+        CrashHistory history = step.tasks().get(index).crashHistory();
+        boolean isCleared = history.isUnconfirmedSuspect() && suspectWaits.isOver(step.key(index), nowMs);
+        return history.isSuspect() && !isCleared;
+    }
+
     private List<CandidateWorker> candidateWorkers(long nowMs) {
         Map<String, CandidateWorker> candidatesById = new HashMap<>();
         List<CandidateWorker> usable = new ArrayList<>();
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -155,13 +155,19 @@
     /** Whether a run of a suspect task has not yet lasted for longer than the runs that were lost in crashes. */
     boolean mayCrashUnder(RunRecord run) {
         CrashHistory history = run.step().tasks().get(run.key().task().index()).crashHistory();
-        if (!history.isSuspect()) {
+        boolean sharesWorker = history.isUnconfirmedSuspect() && hasRunsOfOtherJobs(run);
+        if (!history.isSuspect() || sharesWorker) {
             return false;
         }
         RunTracker tracker = runs.get(run.key());
         return tracker == null || tracker.survivedMs(lastAnswerMs) < history.longestSurvivalMs() + HARMLESS_MARGIN_MS;
     }
 
+    private boolean hasRunsOfOtherJobs(RunRecord run) {
+        return record.runs().values().stream()
+                .anyMatch(other -> other.step().job() != run.step().job());
+    }
+
     void startSent(RunKey run, long nowMs) {
         unansweredStartsSentMs.put(run, nowMs);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/machine/CrashHistory.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/CrashHistory.java
@@ -46,6 +46,15 @@
                 run);
     }
 
+    /**
+     * Whether the task is a suspect only because its worker fell silent, and no worker is known to have crashed under it.
+     *
+     * @return true if there is no crash to hold against it
+     */
+    public boolean isUnconfirmedSuspect() {
+        return isSuspect && crashes == 0;
+    }
+
     /**
      * Whether the task crashed workers for which nothing else explains the crash.
      *
--- a/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/CrashingTaskTest.java
@@ -157,6 +157,35 @@
         }
     }
 
+    @Nested
+    final class TasksOfASilentWorker {
+        private static final int JOBS = 8;
+
+        /** Guards against tasks that get the last worker one at a time, since theirs fell silent at their start (LOST). */
+        @Test
+        void shouldNotWaitForOneAnother() {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                SimulatedCell cell = new SimulatedCell(seed, 2, 0);
+                cell.makeRunsSucceed();
+                cell.time.advance(3_000);
+                List<String> jobs = new ArrayList<>();
+                for (int job = 0; job < JOBS; job++) {
+                    jobs.add(cell.submit(SimulatedCell.tasks(1, 400, false)));
+                }
+                cell.time.advance(40);
+                cell.partitionWorkerOf(jobs.get(0), SETTLE_MS);
+                cell.time.advance(SimulatedCell.LEASE_MS + 8_000);
+
+                for (String job : jobs) {
+                    assertWithMessage("seed " + seed + ", " + job)
+                            .that(cell.job(job).state())
+                            .isEqualTo(GraphStateProto.GRAPH_COMPLETED);
+                }
+                assertWithMessage("seed " + seed).that(cell.violations).isEmpty();
+            }
+        }
+    }
+
     /** A lasting task is at work on each worker, so that none is ever empty. */
     @Nested
     final class LastingTasksOnAllWorkers {
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -98,6 +98,7 @@
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
     private int crashesWithRunsOfOtherJobs;
+    private boolean runsSucceed;
     private int maxListedEnds = Integer.MAX_VALUE;
     /** The highest run of each task that a worker has begun. */
     private final Map<TaskKey, Integer> highestRunBegun = new HashMap<>();
@@ -189,6 +190,11 @@
         rebootMs = durationMs;
     }
 
+    /** From now on no run fails by its own fault. */
+    void makeRunsSucceed() {
+        runsSucceed = true;
+    }
+
     /** From now on runs go on until they are stopped. */
     void makeRunsLast() {
         runsLast = true;
@@ -445,13 +451,21 @@
 
     /** Crashes a worker that has a run of the job. */
     void crashWorkerOf(String job) {
-        SimulatedWorker crashed = workers.values().stream()
+        crash(workerOf(job), REBOOT_MS);
+    }
+
+    /** Cuts a worker off for a time that has a run of the job. */
+    void partitionWorkerOf(String job, long lengthMs) {
+        partition(workerOf(job), lengthMs);
+    }
+
+    private SimulatedWorker workerOf(String job) {
+        return workers.values().stream()
                 .filter(worker -> machine.runs().values().stream()
                         .filter(run -> run.key().task().job().equals(job))
                         .anyMatch(run -> worker.isRunning(run.key().task())))
                 .findFirst()
                 .orElseThrow();
-        crash(crashed, REBOOT_MS);
     }
 
     /** Crashes some workers at the same moment, as the loss of a rack does. */
@@ -573,7 +587,8 @@
         if (runsLast || isLasting(run) || isGangWithCrashingMember(run)) {
             return;
         }
-        RunEndProto how = random.nextInt(20) == 0 ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
+        boolean fails = random.nextInt(20) == 0 && !runsSucceed;
+        RunEndProto how = fails ? RunEndProto.RUN_FAILED : RunEndProto.RUN_DONE;
         time.after(50 + random.nextInt(1_500), () -> worker.end(run, how));
     }
 
