A suspect shares a worker at once where only lasting tasks run, and others only after 10 s

So a worker counts as empty when only lasting tasks are at work on it, which is as empty as it gets, and the bound for all others is 10 s; it stays 2 s for tasks under which no worker is known to have crashed.

--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -445,17 +445,22 @@
                         dueAtMs,
                         cost,
                         index -> isToBeKeptApart(step, index, nowMs),
-                        index -> suspectWaits.isOver(step.key(index), nowMs),
+                        index -> hasWaitedForOwnWorker(step, index, nowMs),
                         index -> health.workersToAvoid(step.key(index))));
     }
 
     /** A task under which no worker is known to have crashed is kept apart only for as long as it need not wait for that. */
     private boolean isToBeKeptApart(StepRecord step, int index, long nowMs) {
         CrashHistory history = step.tasks().get(index).crashHistory();
-        boolean isCleared = history.isUnconfirmedSuspect() && suspectWaits.isOver(step.key(index), nowMs);
+        boolean isCleared = history.isUnconfirmedSuspect() && hasWaitedForOwnWorker(step, index, nowMs);
         return history.isSuspect() && !isCleared;
     }
 
+    private boolean hasWaitedForOwnWorker(StepRecord step, int index, long nowMs) {
+        boolean isUnconfirmed = step.tasks().get(index).crashHistory().isUnconfirmedSuspect();
+        return suspectWaits.isOver(step.key(index), isUnconfirmed, nowMs);
+    }
+
     private List<CandidateWorker> candidateWorkers(long nowMs) {
         Map<String, CandidateWorker> candidatesById = new HashMap<>();
         List<CandidateWorker> usable = new ArrayList<>();
--- a/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/CandidateWorker.java
@@ -21,6 +21,7 @@
     private OptionalInt heldForPriority = OptionalInt.empty();
     private boolean isUnreliable;
     private int runs;
+    private int passingRuns;
     private String isolatedJob = "";
 
     /**
@@ -68,6 +69,7 @@
      */
     public void addRun(StepRecord step) {
         runs++;
+        passingRuns += step.spec().getLasting() ? 0 : 1;
         if (step.spec().getMostPerWorker() > 0) {
             tasksByStep.merge(step.name(), 1, Integer::sum);
         }
@@ -77,6 +79,11 @@
         return runs;
     }
 
+    /** The runs that end by themselves; a worker is never emptier than without them. */
+    int passingRuns() {
+        return passingRuns;
+    }
+
     int tasksOf(String step) {
         return tasksByStep.getOrDefault(step, 0);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/planning/Isolation.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/Isolation.java
@@ -9,8 +9,9 @@
 /**
  * Gives tasks that may crash their worker a worker on which no other job has runs. A job gets one such worker, and one
  * more for each of its suspect tasks that has proved harmless; all jobs together get a limited share of the fleet. So
- * such tasks neither crash many workers at once nor displace much other work. A task for which no worker gets empty in
- * time takes the one with the fewest runs, which is closed to further ones like an empty one.
+ * such tasks neither crash many workers at once nor displace much other work. A worker with lasting runs only counts as
+ * empty, since it never gets emptier. A task for which no worker gets empty in time takes the one with the fewest runs,
+ * which is closed to further ones like an empty one.
  */
 final class Isolation {
     private static final int MAX_SHARE_DIVISOR = 3;
@@ -47,7 +48,7 @@
     }
 
     private static boolean isUnused(CandidateWorker worker) {
-        return worker.runs() == 0 && !worker.isIsolated();
+        return worker.passingRuns() == 0 && !worker.isIsolated();
     }
 
     /** Whether the demand's job may have one more worker of its own. */
@@ -79,11 +80,11 @@
         return isolated == 0 || isolated + additionalWorkers <= maxWorkers;
     }
 
-    /** Closes the worker with the fewest runs, so that a suspect task of the job can have it once it is empty. */
+    /** Closes the worker with the fewest runs that end, so that a suspect task of the job can have it once it is empty. */
     void reserve(String job, List<CandidateWorker> eligible) {
         eligible.stream()
                 .filter(worker -> !worker.isIsolated())
-                .min(Comparator.comparingInt(CandidateWorker::runs))
+                .min(Comparator.comparingInt(CandidateWorker::passingRuns).thenComparingInt(CandidateWorker::runs))
                 .ifPresent(worker -> worker.isolate(job));
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/planning/SuspectWaits.java
+++ b/graph/src/main/java/org/lovagegrade/graph/planning/SuspectWaits.java
@@ -9,8 +9,10 @@
  * be such a worker, so a task waits for it for a limited time.
  */
 public final class SuspectWaits {
-    /** How long a task waits before it may start beside the runs of other jobs. */
-    static final long MAX_WAIT_MS = 2_000;
+    /** How long a task waits before it may start beside runs of other jobs that end by themselves. */
+    static final long MAX_WAIT_MS = 10_000;
+    /** The same for a task under which no worker is known to have crashed. */
+    static final long MAX_UNCONFIRMED_WAIT_MS = 2_000;
 
     private final Map<TaskKey, Long> sinceMsByTask = new HashMap<>();
 
@@ -28,11 +30,13 @@
      * Whether a task has waited long enough to start beside the runs of other jobs.
      *
      * @param task the task
+     * @param isUnconfirmed whether no worker is known to have crashed under the task
      * @param nowMs the present time, on the monotonic clock in milliseconds
      * @return false also if the task isn't known to wait
      */
-    public boolean isOver(TaskKey task, long nowMs) {
-        return nowMs - sinceMsByTask.getOrDefault(task, nowMs) >= MAX_WAIT_MS;
+    public boolean isOver(TaskKey task, boolean isUnconfirmed, long nowMs) {
+        long maxMs = isUnconfirmed ? MAX_UNCONFIRMED_WAIT_MS : MAX_WAIT_MS;
+        return nowMs - sinceMsByTask.getOrDefault(task, nowMs) >= maxMs;
     }
 
     /**
--- a/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/planning/PlannerTest.java
@@ -458,6 +458,18 @@
 
         /** Guards against jobs that never start where a lasting task is at work on each worker (LOST). */
         @Test
+        void shouldRunBesideALastingTaskAtOnceWhereNoWorkerIsEmpty() {
+            addWorkers(2);
+            addRunTo("w0", "other");
+            StepRecord lasting =
+                    demand("lasting", 0, false, step(1, 100).setLasting(true)).step();
+            workers.forEach(worker -> worker.addRun(lasting));
+
+            assertThat(workersOf(plan(suspectDemand("j", step(1, 1_000))))).containsExactly("w1");
+        }
+
+        /** Guards against jobs that never start where long runs are at work on each worker. */
+        @Test
         void shouldRunOnTheWorkerWithTheFewestRunsAfterALongWait() {
             addWorkers(2);
             addRunTo("w0", "other");
