A worker that an isolated job shared is opened again once that job's tasks are gone (the product's own scheduler; LOST)

Once its task had ended there, the worker stayed closed to all other jobs for as long as the service ran.

Hypotheses: the reservation stays, or the mark of the isolated job does. Cause: Cell.release took the mark off only when the worker was empty, which was the same thing while an isolated job never shared one. Now the mark goes with the last task of its job.

RestartingWorkerTest.ServicesOnAllWorkers.shouldOpenTheirWorkersAgainOnceASuspectJobHasEnded: red without the change (w1 missing), green with it; `mvn verify -pl core -am` green. The platform's programs don't use it.

--- a/core/src/main/java/org/lovagegrade/core/internal/Cell.java
+++ b/core/src/main/java/org/lovagegrade/core/internal/Cell.java
@@ -308,7 +308,7 @@
             task.job.workspace.stoppingUsage = task.job.workspace.stoppingUsage.minus(task.allocated);
         }
         worker.tasks.remove(task);
-        if (worker.tasks.isEmpty()) {
+        if (worker.tasks.stream().noneMatch(other -> other.job == worker.isolatedFor)) {
             worker.isolatedFor = null;
         }
         task.job.workspace.running.remove(task);
--- a/core/src/test/java/org/lovagegrade/core/RestartingWorkerTest.java
+++ b/core/src/test/java/org/lovagegrade/core/RestartingWorkerTest.java
@@ -98,6 +98,23 @@
             assertThat(cell.runningTasks("suspect")).isEqualTo(1);
         }
 
+        /** Guards against a worker that stays closed to others for good, since it never gets empty after such a job (LOST). */
+        @Test
+        void shouldOpenTheirWorkersAgainOnceASuspectJobHasEnded() {
+            startServices();
+            cell.runDuration("suspect", 50_000)
+                    .submit("suspect", "team", "batch", 1, 1)
+                    .advanceTo(2);
+            restartWorkersOf("suspect", 2);
+            cell.advanceTo(cell.nowMs() + 120_000);
+
+            cell.submit("late", "team", "batch", WORKERS, 3).advanceTo(cell.nowMs() + 1_000);
+
+            List<Decision> starts = cell.decisions(Action.PLACE, "suspect");
+            assertThat(cell.runningTasks("suspect")).isEqualTo(0);
+            assertThat(workersOf("late")).contains(starts.get(starts.size() - 1).worker());
+        }
+
         /** Guards against a crashing job that is started without limit, or a service that is given up in its place. */
         @Test
         void shouldBeKeptWhileACrashingJobIsGivenUp() {
