--- a/review/stand-ins-2/Runner.java
+++ b/review/stand-ins-2/Runner.java
@@ -99,17 +99,21 @@
 
     /** All runs so far; the end of one that goes on is Long.MAX_VALUE. */
     List<Run> runs() {
-        synchronized (history) {
-            List<Run> all = new ArrayList<>(history);
-            Boot now = boot;
-            if (now != null) {
-                synchronized (now) {
-                    now.running.forEach((task, run) ->
-                            all.add(new Run(task, run.number, now.number, run.beganMs, Long.MAX_VALUE, "runs", false)));
-                }
+        List<Run> all = new ArrayList<>();
+        Boot now = boot;
+        if (now != null) {
+            // Both locks are never held at once here, since the end of a run takes them in the other order.
+            synchronized (now) {
+                now.running.forEach((task, run) ->
+                        all.add(new Run(task, run.number, now.number, run.beganMs, Long.MAX_VALUE, "runs", false)));
             }
-            return all;
         }
+        synchronized (history) {
+            all.removeIf(run -> history.stream().anyMatch(past ->
+                    past.task().equals(run.task()) && past.number() == run.number() && past.boot() == run.boot()));
+            all.addAll(history);
+        }
+        return all;
     }
 
     private void accept() {
