--- a/review/8/RenamedRoute.java
+++ b/review/8/RenamedRoute.java
@@ -15,17 +15,21 @@
 
     private RenamedRoute() {}
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+        int status = Site.COULD_NOT_RUN;
         try (Record record = new Record(Path.of(args[0])); Site site = new Site(record)) {
-            System.exit(play(site, record, hasTrouble));
+            status = play(site, record, hasTrouble);
+        } catch (Exception e) {
+            e.printStackTrace();
         }
+        System.exit(status);
     }
 
     private static int play(Site site, Record record, boolean hasTrouble) throws Exception {
         if (!site.configure(1, Site.route("r-1", "/pitch/")) || !site.awaitReady()) {
             record.line("test: the site isn't ready");
-            return 2;
+            return Site.COULD_NOT_RUN;
         }
         List<Runner> runners = new ArrayList<>();
         for (int n = 0; n < RUNNERS; n++) {
@@ -39,13 +43,13 @@
         for (int n = 0; n < JOBS; n++) {
             if (!site.client(n, "POST", "/pitch/" + Site.id(n), job).isOk()) {
                 record.line("test: a job wasn't accepted");
-                return 2;
+                return Site.COULD_NOT_RUN;
             }
         }
         Runner.sleep(VISIBLE_MS);
         ask(site, "before the change");
         if (!site.configure(2, Site.route(hasTrouble ? "r-2" : "r-1", "/pitch/"))) {
-            return 2;
+            return Site.COULD_NOT_RUN;
         }
         Runner.sleep(CONFIG_APPLY_MS + 500);
         int gone = ask(site, "while they run");
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # the disruption out.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [ -d target/review-2 ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec java -Xmx256m -cp target/review-2 RenamedRoute review/10/record.txt
+exec java -Xmx256m -cp target/review-2 RenamedRoute review/8/record.txt
--- a/review/stand-ins-2/Runner.java
+++ b/review/stand-ins-2/Runner.java
@@ -9,6 +9,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -16,10 +20,15 @@
 /**
  * One runner as PROTOCOL.md describes it. A task works for the milliseconds that its spec says in "run-ms=NUMBER", and
  * then ends done, or failed if its spec also says "run-fails"; one whose spec says "lasts" goes on until it is stopped. The
- * runner can be cut off, and it can crash in silence and start again under the same id.
+ * runner can be cut off, it can leave orders unanswered and carry them out late, and it can crash, in silence or with resets,
+ * and start again under the same id.
  */
 final class Runner {
     private static final int HEARTBEAT_MS = 1_500;
+    /** An order that is left unanswered is carried out this much later, and up to so much more. */
+    private static final int LATE_AFTER_MS = 2_000;
+
+    private static final int LATE_SPREAD_MS = 10_000;
     private static final Pattern FIELD = Pattern.compile("\"(\\w+)\"\\s*:\\s*(\"((?:[^\"\\\\]|\\\\.)*)\"|-?[0-9]+)");
 
     /** A run of a task, with the times on the clock of the record, and whether its end was taken note of. */
@@ -35,8 +44,12 @@
     private final Record record;
     private final ServerSocket server;
     private final List<Run> history = new ArrayList<>();
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private volatile Boot boot;
     private volatile boolean silent;
+    private final AtomicInteger startsToLeaveUnanswered = new AtomicInteger();
+    private final AtomicInteger stopsToLeaveUnanswered = new AtomicInteger();
+    private final Random random = new Random();
     private volatile boolean closed;
     private int boots;
 
@@ -87,6 +100,65 @@
         record.line("runner %s: boot %d crashes in silence", id, lost.number);
     }
 
+    /** Leaves the next starts without an answer and carries each of them out 2 to 12 s later, in whatever life there is then. */
+    void leaveStartsUnanswered(int count) {
+        startsToLeaveUnanswered.set(count);
+    }
+
+    int startsStillToLeaveUnanswered() {
+        return startsToLeaveUnanswered.get();
+    }
+
+    /** The same for stops. */
+    void leaveStopsUnanswered(int count) {
+        stopsToLeaveUnanswered.set(count);
+    }
+
+    int stopsStillToLeaveUnanswered() {
+        return stopsToLeaveUnanswered.get();
+    }
+
+    private boolean isLeftUnanswered(Http.Message request) {
+        boolean isStart = request.firstLine().contains("/api/run-start") && takeOne(startsToLeaveUnanswered);
+        return isStart || (request.firstLine().contains("/api/run-stop") && takeOne(stopsToLeaveUnanswered));
+    }
+
+    private static boolean takeOne(AtomicInteger count) {
+        return count.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
+    }
+
+    private void carryOutLate(Http.Message request) {
+        int delayMs = LATE_AFTER_MS + random.nextInt(LATE_SPREAD_MS);
+        record.line("runner %s: leaves unanswered %s", id, request.body());
+        daemon(() -> {
+            sleep(delayMs);
+            Boot now = boot;
+            if (now != null) {
+                record.line("runner %s: carries out %d ms late %s", id, delayMs, request.body());
+                now.handle(request);
+            }
+        });
+    }
+
+    /** Ends this life; its connections are reset. */
+    void crash() {
+        Boot lost = boot;
+        boot = null;
+        lost.end();
+        record.line("runner %s: boot %d crashes", id, lost.number);
+        open.forEach(Runner::reset);
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // It is closed already.
+            return;
+        }
+    }
+
     /** Cuts the runner off from all machines, or joins it again; it runs on meanwhile. */
     void cut(boolean isCut) {
         silent = isCut;
@@ -129,7 +201,13 @@
 
     private void serve(Socket socket) {
         Boot opened = boot;
+        open.add(socket);
         try (socket) {
+            if (opened == null && !silent) {
+                // Nobody listens while the runner is down.
+                socket.setSoLinger(true, 0);
+                return;
+            }
             while (!closed) {
                 Http.Message request = Http.read(socket.getInputStream());
                 if (request == null) {
@@ -146,6 +224,10 @@
                     socket.setSoLinger(true, 0);
                     return;
                 }
+                if (isLeftUnanswered(request)) {
+                    carryOutLate(request);
+                    continue;
+                }
                 String answer = opened.handle(request);
                 if (silent || opened != boot) {
                     while (silent && !closed) {
@@ -160,6 +242,8 @@
             }
         } catch (IOException e) {
             return;
+        } finally {
+            open.remove(socket);
         }
     }
 
--- a/review/stand-ins-2/Site.java
+++ b/review/stand-ins-2/Site.java
@@ -25,6 +25,8 @@
     static final String HOST = "jobs.example";
     static final String KEY = "key-of-tenant-a-1";
     static final int STOP_MS = 200;
+    /** The exit status of a test that couldn't run. */
+    static final int COULD_NOT_RUN = 2;
     private static final int CORES = 3;
     private static final int ENTRIES = 2;
     private static final String BOUNDS = "{\"seed_lag_s\":3,\"reuse_after_s\":2,\"contact_ms\":3000,\"ack_ms\":4000,"
