--- a/review/6/RebornRunner.java
+++ b/review/6/RebornRunner.java
@@ -17,17 +17,21 @@
 
     private RebornRunner() {}
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+        int status = Site.COULD_NOT_RUN;
         try (Record record = new Record(Path.of(args[0])); Site site = new Site(record)) {
-            System.exit(play(site, record, hasTrouble));
+            status = play(site, record, hasTrouble);
+        } catch (Exception e) {
+            e.printStackTrace();
         }
+        System.exit(status);
     }
 
     private static int play(Site site, Record record, boolean hasTrouble) throws Exception {
         if (!site.configure(1, Site.route("r-1", "/pitch/")) || !site.awaitReady()) {
             record.line("test: the site isn't ready");
-            return 2;
+            return Site.COULD_NOT_RUN;
         }
         List<Runner> runners = new ArrayList<>();
         for (int n = 0; n < RUNNERS; n++) {
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # the disruption out.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [ -d target/review-2 ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec java -Xmx256m -cp target/review-2 RebornRunner review/7/record.txt
+exec java -Xmx256m -cp target/review-2 RebornRunner review/6/record.txt
