--- a/graph/src/main/java/org/lovagegrade/graph/leader/DriverSafeguards.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/DriverSafeguards.java
@@ -6,13 +6,14 @@
  * prove that the checks of the simulation detect the resulting violations.
  *
  * @param awaitLeaseExpiry whether runs on a lost worker are given up only after every lease there has expired
- * @param stopInDoubtRuns whether a worker that comes back must first stop the runs whose start may still arrive
+ * @param raiseFencingToken whether a worker that comes back, or another incarnation of it, first gets a fencing token that
+ *     is higher than those of the orders that may still arrive
  * @param withdrawEvacuatedStarts whether committed starts are withdrawn once their failure domain is evacuated
  * @param requireLeaseToStart whether starts are sent only while this replica holds the leader lease
  */
 record DriverSafeguards(
         boolean awaitLeaseExpiry,
-        boolean stopInDoubtRuns,
+        boolean raiseFencingToken,
         boolean withdrawEvacuatedStarts,
         boolean requireLeaseToStart) {
     static DriverSafeguards allEnabled() {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
@@ -13,13 +13,11 @@
 /** Reconciles the runs and ends that a worker lists with the log. */
 final class ListingReconciler {
     private final WorkerLink link;
-    private final DriverTerm term;
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
 
-    ListingReconciler(WorkerLink link, DriverTerm term, OutcomeProposer outcomeProposer, OrderSender orderSender) {
+    ListingReconciler(WorkerLink link, OutcomeProposer outcomeProposer, OrderSender orderSender) {
         this.link = link;
-        this.term = term;
         this.outcomeProposer = outcomeProposer;
         this.orderSender = orderSender;
     }
@@ -61,6 +59,7 @@
         }
         tracker.recordCheckpoint(view.checkpoint(), nowMs);
         tracker.recordExistence(nowMs);
+        tracker.begunByAddressee = true;
         tracker.recordProgress(view.percent(), nowMs);
         boolean isUnconfirmed =
                 tracker.phase == RunTracker.Phase.STARTING || tracker.phase == RunTracker.Phase.VERIFYING;
@@ -84,7 +83,7 @@
                 .with("run", view.key().toString())
                 .with("worker", session.id())
                 .warn();
-        link.stop(session.info(), view.key(), term.number(), _outcome -> {});
+        link.stop(session.info(), view.key(), session.fencingToken, _outcome -> {});
     }
 
     private void handleMissingRun(WorkerSession session, RunTracker tracker, long requestedAtMs) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -42,7 +42,11 @@
 
     /** Sends the order that is due for a run, if there is one. */
     void sendIfDue(WorkerSession session, RunTracker tracker, long nowMs) {
-        boolean mayAct = session.activated && !session.quarantined && !tracker.inFlight && nowMs >= tracker.nextSendMs;
+        boolean mayAct = session.activated
+                && !session.quarantined
+                && !session.isSucceeded()
+                && !tracker.inFlight
+                && nowMs >= tracker.nextSendMs;
         if (!mayAct || !term.mayAct()) {
             return;
         }
@@ -54,7 +58,7 @@
                     withdrawStart(session, tracker, WithdrawalReason.OVER_CAPACITY);
                 } else if (isEvacuated(session)) {
                     withdrawStart(session, tracker, WithdrawalReason.EVACUATED);
-                } else if (session.isFullyAccounted() && isIncarnationConfirmed(session, tracker) && mayStart()) {
+                } else if (session.isFullyAccounted() && isIncarnationConfirmed(session, tracker) && mayGrantLeases()) {
                     start(session, tracker, nowMs);
                 }
             }
@@ -73,7 +77,7 @@
     }
 
     /** A leader that was paused may have been deposed, and its successor may have committed an evacuation. */
-    private boolean mayStart() {
+    boolean mayGrantLeases() {
         return !dependencies.safeguards().requireLeaseToStart()
                 || dependencies.holdsLease().getAsBoolean();
     }
@@ -83,44 +87,44 @@
      * same id, which would begin a run that the former one has lost, and perhaps crash under it as well.
      */
     private static boolean isIncarnationConfirmed(WorkerSession session, RunTracker tracker) {
-        return session.lastListedMs > tracker.lastFailureMs;
+        return session.lastListedMs > tracker.lastFailureMs && !session.otherIncarnationSuspected;
     }
 
     private void start(WorkerSession session, RunTracker tracker, long nowMs) {
         tracker.inFlight = true;
         tracker.orderSent = true;
+        tracker.lastSentMs = nowMs;
         session.startSent(tracker.run.key(), nowMs);
         StartOrder message = new StartOrder(
                 tracker.run.key(),
                 tracker.run.step().job().graph().getPayload(),
                 leaseFor(session, nowMs),
-                term.number(),
+                session.fencingToken,
                 tracker.run.checkpoint(),
                 tracker.ticket);
         dependencies.link().start(session.info(), message, outcome -> {
-            dependencies.replicaThread().execute(() -> recordIfLate(session, tracker, outcome));
-            onReplicaThread(session, tracker, () -> startAnswered(session, tracker, outcome));
+            dependencies.replicaThread().execute(() -> recordLeaseSent(session));
+            onReplicaThread(session, tracker, () -> startAnswered(session, tracker, message.fencingToken(), outcome));
         });
     }
 
-    /** Also records the late start of a run that has ended meanwhile, as the next incarnation may begin it again. */
-    private void recordIfLate(WorkerSession session, RunTracker tracker, OrderOutcome outcome) {
-        if (outcome instanceof OrderOutcome.Unanswered) {
-            session.lateStarts.record(tracker.run.key(), dependencies.clock().nowMs());
-        }
+    /** An order may wait for its connection, so that its lease began at the latest when its outcome arrives. */
+    private void recordLeaseSent(WorkerSession session) {
+        session.lastLeaseSentMs = dependencies.clock().nowMs();
     }
 
     /** Returns the lease expiry; an unresponsive worker's lease is not extended, so that its runs can be given up. */
     long leaseFor(WorkerSession session, long nowMs) {
+        session.lastLeaseSentMs = nowMs;
         return session.lastOrderUnanswered
                 ? session.clock.grantedUntilMs()
                 : session.clock.grant(dependencies.timings().leaseMs(), nowMs);
     }
 
-    private void startAnswered(WorkerSession session, RunTracker tracker, OrderOutcome outcome) {
+    private void startAnswered(WorkerSession session, RunTracker tracker, long fencingToken, OrderOutcome outcome) {
         long nowMs = dependencies.clock().nowMs();
         if (outcome instanceof OrderOutcome.Done done) {
-            session.clock.update(done.clockMs(), nowMs);
+            recordIncarnation(session, tracker, done.clockMs(), nowMs);
             session.recordAnswer(nowMs);
             tracker.recordExistence(nowMs);
             tracker.phase = RunTracker.Phase.CONFIRMED;
@@ -128,10 +132,11 @@
             tracker.listingValidFromMs = nowMs;
             sendIfDue(session, tracker, nowMs);
         } else if (outcome instanceof OrderOutcome.Refused refused) {
-            startRefused(session, tracker, refused.reason(), nowMs);
+            startRefused(session, tracker, refused.reason(), fencingToken, nowMs);
         } else {
             if (outcome instanceof OrderOutcome.Unanswered) {
                 tracker.inDoubt = true;
+                tracker.wasInDoubt = true;
             }
             session.recordUnanswered(nowMs);
             tracker.orderSent = tracker.inDoubt;
@@ -140,7 +145,28 @@
         }
     }
 
-    private void startRefused(WorkerSession session, RunTracker tracker, OrderRefusal reason, long nowMs) {
+    /**
+     * Records which incarnation has begun a run. Only the clock in its answer tells, as the id is the same: another clock
+     * than that of the addressee shows that a later incarnation has accepted the start.
+     */
+    private void recordIncarnation(WorkerSession session, RunTracker tracker, long clockMs, long nowMs) {
+        if (session.clock.isOwnReading(clockMs, tracker.lastSentMs, nowMs)) {
+            tracker.begunByAddressee = true;
+            session.clock.update(clockMs, nowMs);
+        } else if (session.clock.isOtherReading(clockMs, tracker.lastSentMs)) {
+            session.otherIncarnationSuspected = true;
+            Log.event("startAnsweredByOther")
+                    .with("run", tracker.run.key().toString())
+                    .with("worker", session.id())
+                    .with("bornMs", session.info().getBornMs())
+                    .with("clockMs", clockMs)
+                    .with("expectedClockMs", session.clock.expectedMs(nowMs))
+                    .warn();
+        }
+    }
+
+    private void startRefused(
+            WorkerSession session, RunTracker tracker, OrderRefusal reason, long fencingToken, long nowMs) {
         dependencies.metrics().count(WorkerDriver.ORDER_REFUSALS, reason);
         Log.event("startRefused")
                 .with("run", tracker.run.key().toString())
@@ -149,7 +175,10 @@
                 .with("inDoubt", tracker.inDoubt)
                 .warn();
         switch (reason) {
-            case FENCED -> term.markFencedOut();
+            case FENCED -> {
+                markFencedOutIfLatest(session, fencingToken);
+                tracker.nextSendMs = nowMs + RETRY_DELAY_MS;
+            }
             case OTHER_LIFE -> outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             case OUTDATED -> verify(tracker, nowMs);
             case UNHEALTHY -> {
@@ -192,21 +221,29 @@
         tracker.listingValidFromMs = nowMs;
     }
 
+    /** An order that a later token of this leader has overtaken says nothing about other leaders. */
+    void markFencedOutIfLatest(WorkerSession session, long fencingToken) {
+        if (fencingToken == session.fencingToken) {
+            term.markFencedOut();
+        }
+    }
+
     private void stop(WorkerSession session, RunTracker tracker) {
         tracker.inFlight = true;
+        long fencingToken = session.fencingToken;
         dependencies
                 .link()
                 .stop(
                         session.info(),
                         tracker.run.key(),
-                        term.number(),
-                        outcome -> onReplicaThread(session, tracker, () -> stopAnswered(session, tracker, outcome)));
+                        fencingToken,
+                        outcome -> onReplicaThread(
+                                session, tracker, () -> stopAnswered(session, tracker, fencingToken, outcome)));
     }
 
-    private void stopAnswered(WorkerSession session, RunTracker tracker, OrderOutcome outcome) {
+    private void stopAnswered(WorkerSession session, RunTracker tracker, long fencingToken, OrderOutcome outcome) {
         long nowMs = dependencies.clock().nowMs();
-        if (outcome instanceof OrderOutcome.Done done) {
-            session.clock.update(done.clockMs(), nowMs);
+        if (outcome instanceof OrderOutcome.Done) {
             session.recordAnswer(nowMs);
             tracker.phase = RunTracker.Phase.STOPPING;
             tracker.listingValidFromMs = nowMs;
@@ -214,7 +251,8 @@
         } else if (outcome instanceof OrderOutcome.Refused refused) {
             dependencies.metrics().count(WorkerDriver.ORDER_REFUSALS, refused.reason());
             if (refused.reason() == OrderRefusal.FENCED) {
-                term.markFencedOut();
+                markFencedOutIfLatest(session, fencingToken);
+                tracker.nextSendMs = nowMs + RETRY_DELAY_MS;
             } else if (refused.reason() == OrderRefusal.OTHER_LIFE) {
                 outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             } else {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OutcomeProposer.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OutcomeProposer.java
@@ -36,26 +36,11 @@
                 continue;
             }
             cursor = Math.max(cursor, end.number());
-            newEnds.add(EndProto.newBuilder()
-                    .setTask(end.key().task().toProto())
-                    .setRun(end.key().run())
-                    .setHow(end.how())
-                    .setCheckpoint(end.checkpoint())
-                    .build());
             RunTracker tracker = session.runs.get(end.key());
             if (tracker != null) {
                 tracker.phase = RunTracker.Phase.ENDING;
             }
-            RunUsage usage = tracker == null ? RunUsage.NONE : accounting.end(tracker, end.how(), end.checkpoint());
-            Log.event("runEnded")
-                    .with("run", end.key().toString())
-                    .with("worker", session.id())
-                    .with("number", end.number())
-                    .with("how", end.how().name())
-                    .with("coreMs", usage.coreMs())
-                    .with("savedCoreMs", usage.savedCoreMs())
-                    .with("waste", usage.waste().name())
-                    .info();
+            newEnds.add(listedEndOf(session, tracker, end));
         }
         if (!newEnds.isEmpty()) {
             session.proposedCursor = cursor;
@@ -63,6 +48,26 @@
         }
     }
 
+    /** Accounts for the end of a run that a worker lists, and logs it; without a tracker it is a run of another leader. */
+    private EndProto listedEndOf(WorkerSession session, RunTracker tracker, EndedRunView end) {
+        RunUsage usage = tracker == null ? RunUsage.NONE : accounting.end(tracker, end.how(), end.checkpoint());
+        Log.event("runEnded")
+                .with("run", end.key().toString())
+                .with("worker", session.id())
+                .with("number", end.number())
+                .with("how", end.how().name())
+                .with("coreMs", usage.coreMs())
+                .with("savedCoreMs", usage.savedCoreMs())
+                .with("waste", usage.waste().name())
+                .info();
+        return EndProto.newBuilder()
+                .setTask(end.key().task().toProto())
+                .setRun(end.key().run())
+                .setHow(end.how())
+                .setCheckpoint(end.checkpoint())
+                .build();
+    }
+
     /** Proposes the end of a run that its worker did not list. */
     void proposeEnd(WorkerSession session, RunTracker tracker, RunEndProto how) {
         tracker.phase = RunTracker.Phase.ENDING;
@@ -100,13 +105,14 @@
         session.crashed = reason.provesRestart() && !session.isLeaving();
         Log.event("workerGone")
                 .with("worker", session.id())
+                .with("bornMs", session.info().getBornMs())
                 .with("reason", reason.logName())
                 .with("runs", session.runs.size())
                 .with("crashed", session.crashed)
                 .warn();
         List<EndProto> lost = lostEnds(session);
-        if (!session.isLeaving()) {
-            crashAttribution.record(session);
+        if (!session.isSucceeded()) {
+            recordLoss(session);
         }
         if (!lost.isEmpty()) {
             proposeEnds(session, session.record.cursor(), lost);
@@ -117,19 +123,61 @@
                         .setBornMs(session.info().getBornMs())));
     }
 
+    /** Remembers the loss of a worker that had not announced its end, to compare the losses of others with it. */
+    void recordLoss(WorkerSession session) {
+        if (!session.isLeaving()) {
+            crashAttribution.record(session);
+        }
+    }
+
+    /** What the loss of a worker tells of its runs, by what is known of the worker now. */
+    Function<RunTracker, RunLossProto> lossesOf(WorkerSession session) {
+        return crashAttribution.crashed(session);
+    }
+
+    /** Proposes that runs are lost which are over with their incarnation, or which its successor does not have. */
+    void proposeLostWithIncarnation(WorkerSession session, List<RunTracker> trackers) {
+        if (!trackers.isEmpty()) {
+            trackers.forEach(tracker -> tracker.phase = RunTracker.Phase.ENDING);
+            proposeEnds(session, session.record.cursor(), lostEndsOf(session, trackers));
+        }
+    }
+
+    /** Proposes the ends of runs that a successor lists, whose numbers say nothing about the former incarnation. */
+    void proposeEndsOnSuccessor(WorkerSession session, List<EndedRunView> ends) {
+        List<EndProto> newEnds = new ArrayList<>();
+        for (EndedRunView end : ends) {
+            RunTracker tracker = session.runs.get(end.key());
+            if (tracker != null && tracker.phase != RunTracker.Phase.ENDING) {
+                tracker.phase = RunTracker.Phase.ENDING;
+                newEnds.add(listedEndOf(session, tracker, end));
+            }
+        }
+        if (!newEnds.isEmpty()) {
+            proposeEnds(session, session.record.cursor(), newEnds);
+        }
+    }
+
     /** The ends of the worker's runs, and the losses of runs that were given up before the crash was noticed. */
     private List<EndProto> lostEnds(WorkerSession session) {
         List<RunTracker> lost = new ArrayList<>();
         session.runs.values().stream()
                 .filter(tracker -> tracker.phase != RunTracker.Phase.ENDING)
                 .forEach(lost::add);
+        if (session.crashed && !session.isSucceeded()) {
+            lost.addAll(session.runsLostWithLease.values());
+        }
+        return lostEndsOf(session, lost);
+    }
+
+    private List<EndProto> lostEndsOf(WorkerSession session, List<RunTracker> lost) {
         if (!session.crashed) {
             return lost.stream()
                     .map(tracker -> endOf(tracker, RunEndProto.RUN_LOST))
                     .toList();
         }
-        lost.addAll(session.runsLostWithLease.values());
-        Function<RunTracker, RunLossProto> losses = crashAttribution.crashed(session);
+        Function<RunTracker, RunLossProto> losses =
+                session.isSucceeded() ? session.succession.losses : crashAttribution.crashed(session);
         return lost.stream()
                 .map(tracker -> tracker.orderSent
                         ? lostEndOf(tracker, losses.apply(tracker))
--- a/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RunTracker.java
@@ -46,6 +46,14 @@
     boolean withdrawn;
     /** A start was sent in this term, or may have been sent in an earlier one. */
     boolean orderSent;
+    /** The incarnation that the order was meant for is known to have begun the run, rather than a later one. */
+    boolean begunByAddressee;
+    /** A copy of the start went unanswered, so that it may also reach a later incarnation. */
+    boolean wasInDoubt;
+    /** When the last start was sent, on the monotonic clock in milliseconds. */
+    long lastSentMs;
+    /** What shows that the run is over, if it was not listed. */
+    LossBasis lossBasis = LossBasis.NONE;
 
     long nextSendMs;
     /** When a start last went unanswered. */
@@ -111,6 +119,11 @@
         return orderSent && !isUnseen() && survivedMs(lastAnswerMs) < SOON_AFTER_START_MS;
     }
 
+    /** Whether a later incarnation of the worker may have accepted the start, as it has the same id. */
+    boolean mayRunOnSuccessor() {
+        return orderSent && (!begunByAddressee || wasInDoubt);
+    }
+
     /** Whether the task may have crashed a worker before. */
     boolean isOfSuspectTask() {
         return run.step().tasks().get(run.key().task().index()).crashHistory().isSuspect();
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,10 +9,8 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
-import org.lovagegrade.graph.machine.RunKey;
 import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.WorkerRecord;
-import org.lovagegrade.graph.worker.OrderOutcome;
 import org.lovagegrade.graph.worker.OrderRefusal;
 import org.lovagegrade.graph.worker.RenewOrder;
 import org.lovagegrade.graph.worker.RenewOutcome;
@@ -29,8 +26,9 @@
  * that workers list to the log. All methods run on the replica's thread.
  *
  * <p>An order without an answer is in doubt: a start may still begin its run at any later time. The order is sent again
- * until the worker answers, and a run that is given up meanwhile is stopped on that worker before the worker is used
- * again. A new leader first raises the fencing token at each worker, after which no older order can begin a run.
+ * until the worker answers. Before a worker is used that this leader has not used yet, or on which runs were given up, it
+ * gets a higher fencing token, after which no older order can begin a run. The same goes for an incarnation that answers
+ * in place of a former one, see {@link SuccessionHandler}.
  */
 final class WorkerDriver {
     static final String ORDER_REFUSALS = "lovagegrade_order_refusals";
@@ -52,9 +50,6 @@
     private static final long REMOVAL_TIMEOUT_MS = 15_000;
 
     private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
-    /** By worker id; each incarnation first stops the runs whose start may still arrive. */
-    private final Map<String, LateStarts> lateStarts = new HashMap<>();
-
     private final WorkerLink link;
     private final Executor replicaThread;
     private final LeaderTimings timings;
@@ -67,6 +62,7 @@
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
     private final ListingReconciler listingReconciler;
+    private final SuccessionHandler successionHandler;
 
     WorkerDriver(Dependencies dependencies, long term, long nowMs) {
         this.link = dependencies.link();
@@ -88,9 +84,10 @@
                 dependencies,
                 this.term,
                 outcomeProposer,
-                (session, tracker) ->
-                        sessions.get(session.id()) == session && session.runs.get(tracker.run.key()) == tracker);
-        this.listingReconciler = new ListingReconciler(link, this.term, outcomeProposer, orderSender);
+                (session, tracker) -> isCurrent(session) && session.runs.get(tracker.run.key()) == tracker);
+        this.listingReconciler = new ListingReconciler(link, outcomeProposer, orderSender);
+        this.successionHandler =
+                new SuccessionHandler(dependencies, this.term, outcomeProposer, orderSender, this::isCurrent);
     }
 
     /**
@@ -117,6 +114,10 @@
             BooleanSupplier holdsLease,
             DriverSafeguards safeguards) {}
 
+    private boolean isCurrent(WorkerSession session) {
+        return sessions.get(session.id()) == session;
+    }
+
     /** The first of the numbers that this leader assigns; higher than all numbers of earlier leaders. */
     long firstIdOfTerm() {
         return term.number() << Integer.SIZE;
@@ -193,11 +194,7 @@
         if (current != null && current.record == record) {
             return;
         }
-        LateStarts late = lateStarts.computeIfAbsent(record.info().getId(), _id -> new LateStarts());
-        WorkerSession session = new WorkerSession(record, late, nowMs);
-        if (safeguards.stopInDoubtRuns()) {
-            session.abandonedRuns.addAll(late.runs(nowMs));
-        }
+        WorkerSession session = new WorkerSession(record, term.nextFencingToken(), nowMs);
         for (RunRecord run : record.runs().values()) {
             RunTracker tracker = new RunTracker(run, "", RunTracker.Phase.VERIFYING, nowMs);
             tracker.stopRequested = run.isObsolete() || run.isOfBrokenGang();
@@ -211,20 +208,10 @@
         if (session == null || session.record != record) {
             return;
         }
-        long nowMs = clock.nowMs();
-        session.abandonedRuns.forEach(run -> session.lateStarts.record(run, nowMs));
-        session.runs.values().stream()
-                .filter(tracker -> tracker.inDoubt || tracker.inFlight)
-                .forEach(tracker -> session.lateStarts.record(tracker.run.key(), nowMs));
         sessions.remove(session.id());
-        lateStarts.entrySet().removeIf(entry -> isForgettable(entry.getKey(), entry.getValue(), nowMs));
         link.disconnect(session.info());
     }
 
-    private boolean isForgettable(String worker, LateStarts late, long nowMs) {
-        return !sessions.containsKey(worker) && late.runs(nowMs).isEmpty();
-    }
-
     void runStarted(RunRecord run, String ticket, long nowMs) {
         WorkerSession session = sessions.get(run.worker());
         if (session == null) {
@@ -255,6 +242,7 @@
                 .with("run", tracker.run.key().toString())
                 .with("worker", session.id())
                 .with("cause", cause.name())
+                .with("basis", tracker.lossBasis.name())
                 .with("survivedMs", tracker.survivedMs(session.lastAnswerMs))
                 .with("runs", session.runs.size())
                 .with("coreMs", usage.coreMs())
@@ -287,40 +275,50 @@
      * or if none does and the lease has expired. Does nothing while an answer is awaited or was just received.
      */
     void verifyIncarnation(WorkerSession session, long nowMs) {
-        boolean mayAsk =
-                !session.verificationInFlight && !session.removalProposed && nowMs >= session.nextVerificationMs;
+        boolean mayAsk = !session.verificationInFlight
+                && !session.removalProposed
+                && !session.isSucceeded()
+                && nowMs >= session.nextVerificationMs;
         if (!mayAsk || !term.mayAct()) {
             return;
         }
         session.verificationInFlight = true;
         session.nextVerificationMs = nowMs + RETRY_DELAY_MS;
+        long fencingToken = session.fencingToken;
         link.identify(
                 session.info(),
-                term.number(),
+                fencingToken,
                 outcome -> replicaThread.execute(() -> {
                     session.verificationInFlight = false;
-                    if (!term.isClosed() && sessions.get(session.id()) == session) {
-                        handleVerification(session, nowMs, outcome);
+                    if (!term.isClosed() && isCurrent(session)) {
+                        handleVerification(session, nowMs, fencingToken, outcome);
                     }
                 }));
     }
 
-    private void handleVerification(WorkerSession session, long askedAtMs, RenewOutcome outcome) {
+    private void handleVerification(WorkerSession session, long askedAtMs, long fencingToken, RenewOutcome outcome) {
         if (outcome instanceof RenewOutcome.Listed listed) {
             if (isOtherIncarnation(session, listed)) {
-                outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REBORN);
+                successionHandler.begin(session, listed.bornMs());
             } else {
                 session.verifiedAtMs = askedAtMs;
             }
         } else if (outcome instanceof RenewOutcome.Refused refused && refused.reason() == OrderRefusal.OTHER_LIFE) {
             outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
         } else if (outcome instanceof RenewOutcome.Refused refused && refused.reason() == OrderRefusal.FENCED) {
-            term.markFencedOut();
-        } else if (clock.nowMs() >= leasesExpiredAtMs(session)) {
+            orderSender.markFencedOutIfLatest(session, fencingToken);
+        } else if (!session.isSucceeded() && clock.nowMs() >= allLeasesExpiredAtMs(session)) {
             outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REPLACED);
         }
     }
 
+    /** Begins the succession anew if a later incarnation reports itself than the one that has listed its runs. */
+    void checkSuccession(WorkerSession session, WorkerProto reported, long nowMs) {
+        if (session.isSucceeded() && session.id().equals(reported.getId())) {
+            successionHandler.beginAnewIfOutdated(session, reported.getBornMs(), nowMs);
+        }
+    }
+
     private static boolean isOtherIncarnation(WorkerSession session, RenewOutcome.Listed listed) {
         return listed.bornMs() != 0
                 && session.info().getBornMs() != 0
@@ -352,6 +350,13 @@
 
     void tick(long nowMs) {
         for (WorkerSession session : List.copyOf(sessions.values())) {
+            if (session.isSucceeded()) {
+                successionHandler.tick(session, nowMs);
+                continue;
+            }
+            if (session.otherIncarnationSuspected) {
+                verifyIncarnation(session, nowMs);
+            }
             renewIfDue(session, nowMs);
             if (session.activated && !session.quarantined) {
                 for (RunTracker tracker : List.copyOf(session.runs.values())) {
@@ -365,67 +370,44 @@
     // --- renewals and listings
 
     private void renewIfDue(WorkerSession session, long nowMs) {
-        if (session.renewalInFlight || session.removalProposed || !term.mayAct() || nowMs < session.nextRenewalMs) {
+        boolean mayRenew = !session.renewalInFlight && !session.removalProposed && !session.isSucceeded();
+        if (!mayRenew || !term.mayAct() || nowMs < session.nextRenewalMs) {
             return;
         }
         boolean isCommitAwaited = session.proposedCursor > session.record.cursor();
         if (isCommitAwaited && nowMs - session.lastAnswerMs < MAX_COMMIT_WAIT_MS) {
             return;
         }
-        if (session.quarantined && !session.abandonedRuns.isEmpty() && session.clock.isKnown()) {
-            stopNextAbandonedRun(session);
-            return;
-        }
         session.renewalInFlight = true;
         boolean mayGrant = session.activated && !session.quarantined && !session.incarnationUnconfirmed;
         long untilMs = mayGrant ? orderSender.leaseFor(session, nowMs) : 0;
         long cursor = session.incarnationUnconfirmed ? 0 : session.record.cursor();
-        RenewOrder order = new RenewOrder(term.number(), untilMs, cursor, mayGrant ? LISTING_WAIT_MS : 0);
+        RenewOrder order = new RenewOrder(session.fencingToken, untilMs, cursor, mayGrant ? LISTING_WAIT_MS : 0);
         link.renew(
                 session.info(),
                 order,
                 outcome -> replicaThread.execute(() -> {
                     session.renewalInFlight = false;
-                    if (!term.isClosed() && sessions.get(session.id()) == session) {
-                        handleRenewalOutcome(session, nowMs, outcome);
+                    if (!term.isClosed() && !session.isSucceeded() && isCurrent(session)) {
+                        handleRenewalOutcome(session, order, nowMs, outcome);
                     }
                 }));
     }
 
-    /** Stops a run whose start may still arrive at a worker that was given up, before the worker gets a lease. */
-    private void stopNextAbandonedRun(WorkerSession session) {
-        RunKey run = session.abandonedRuns.iterator().next();
-        session.renewalInFlight = true;
-        link.stop(
-                session.info(),
-                run,
-                term.number(),
-                outcome -> replicaThread.execute(() -> {
-                    session.renewalInFlight = false;
-                    if (outcome instanceof OrderOutcome.Done) {
-                        session.abandonedRuns.remove(run);
-                    } else {
-                        session.nextRenewalMs = clock.nowMs() + RETRY_DELAY_MS;
-                    }
-                    if (outcome instanceof OrderOutcome.Refused refused
-                            && refused.reason() == OrderRefusal.OTHER_LIFE) {
-                        outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
-                    }
-                }));
-    }
-
-    private void handleRenewalOutcome(WorkerSession session, long requestedAtMs, RenewOutcome outcome) {
+    private void handleRenewalOutcome(
+            WorkerSession session, RenewOrder order, long requestedAtMs, RenewOutcome outcome) {
         long nowMs = clock.nowMs();
         if (outcome instanceof RenewOutcome.Listed listed) {
-            handleListing(session, requestedAtMs, listed, nowMs);
+            handleListing(session, order, requestedAtMs, listed, nowMs);
         } else if (outcome instanceof RenewOutcome.Refused refused) {
             metrics.count(ORDER_REFUSALS, refused.reason());
             session.nextRenewalMs = nowMs + RETRY_DELAY_MS;
-            if (refused.reason() == OrderRefusal.FENCED) {
+            if (refused.reason() == OrderRefusal.FENCED && order.fencingToken() == session.fencingToken) {
                 term.markFencedOut();
                 Log.event("fencedOut")
                         .with("worker", session.id())
                         .with("term", term.number())
+                        .with("fence", order.fencingToken())
                         .warn();
             } else if (refused.reason() == OrderRefusal.OTHER_LIFE) {
                 outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
@@ -448,17 +430,20 @@
         }
     }
 
-    private void handleListing(WorkerSession session, long requestedAtMs, RenewOutcome.Listed listed, long nowMs) {
+    private void handleListing(
+            WorkerSession session, RenewOrder order, long requestedAtMs, RenewOutcome.Listed listed, long nowMs) {
         if (isOtherIncarnation(session, listed)) {
-            outcomeProposer.proposeRemoval(session, WorkerRemovalReason.REBORN);
+            successionHandler.begin(session, listed.bornMs());
             return;
         }
         session.incarnationUnconfirmed = false;
+        session.otherIncarnationSuspected = false;
         session.clock.update(listed.clockMs(), nowMs);
         session.recordAnswer(nowMs);
         session.lastListedMs = nowMs;
         listingReconciler.reconcile(session, listed, requestedAtMs, nowMs);
-        if (session.quarantined && session.abandonedRuns.isEmpty()) {
+        boolean isBarrier = order.fencingToken() == session.fencingToken;
+        if (session.quarantined && isBarrier) {
             session.quarantined = false;
             session.runsLostWithLease.clear();
             Log.event("workerRegained").with("worker", session.id()).info();
@@ -471,14 +456,11 @@
     }
 
     private void activate(WorkerSession session, long nowMs) {
-        if (!session.abandonedRuns.isEmpty()) {
-            session.quarantined = true;
-            return;
-        }
         session.activated = true;
         Log.event("workerIntroduced")
                 .with("worker", session.id())
-                .with("fence", term.number())
+                .with("fence", session.fencingToken)
+                .with("bornMs", session.info().getBornMs())
                 .with("domain", session.info().getFailureDomain())
                 .with("runs", session.runs.size())
                 .info();
@@ -494,7 +476,18 @@
                 WorkerClock.earlierLeasesExpiredAtMs(timings.leaseMs(), term.sinceMs()));
     }
 
+    /** When also those leases are sure to have expired that a later incarnation may hold. */
+    private long allLeasesExpiredAtMs(WorkerSession session) {
+        long expiredAtMs = leasesExpiredAtMs(session);
+        return session.mayRunOnSuccessor()
+                ? Math.max(expiredAtMs, successionHandler.longestLeaseExpiredAtMs(session))
+                : expiredAtMs;
+    }
+
     private void giveUpIfLeaseExpired(WorkerSession session, long nowMs) {
+        if (session.isSucceeded()) {
+            return;
+        }
         boolean hasNothingToGiveUp = !session.activated && session.runs.isEmpty();
         boolean mayHoldLease = safeguards.awaitLeaseExpiry()
                 ? nowMs < leasesExpiredAtMs(session)
@@ -508,27 +501,30 @@
         }
         if (!session.quarantined) {
             session.quarantined = true;
+            if (safeguards.raiseFencingToken()) {
+                session.fencingToken = term.nextFencingToken();
+            }
             Log.event("workerLapsed")
                     .with("worker", session.id())
                     .with("runs", session.runs.size())
                     .with("heardAgoMs", nowMs - session.lastAnswerMs)
                     .warn();
         }
-        List<RunTracker> lost = new ArrayList<>();
-        for (RunTracker tracker : session.runs.values()) {
-            if (tracker.phase != RunTracker.Phase.ENDING) {
-                lost.add(tracker);
-                boolean mayStillArrive = tracker.inDoubt || tracker.inFlight;
-                if (mayStillArrive && safeguards.stopInDoubtRuns()) {
-                    session.abandonedRuns.add(tracker.run.key());
-                }
-            }
-        }
+        boolean isLongestLeaseExpired =
+                !safeguards.awaitLeaseExpiry() || nowMs >= successionHandler.longestLeaseExpiredAtMs(session);
+        List<RunTracker> lost = session.runs.values().stream()
+                .filter(tracker -> tracker.phase != RunTracker.Phase.ENDING)
+                .filter(tracker -> isLongestLeaseExpired || !tracker.mayRunOnSuccessor())
+                .toList();
+        lost.forEach(tracker -> tracker.lossBasis =
+                tracker.mayRunOnSuccessor() ? LossBasis.LONGEST_LEASE_EXPIRED : LossBasis.LEASE_EXPIRED);
         lost.stream()
                 .filter(tracker -> tracker.orderSent)
                 .forEach(tracker -> session.runsLostWithLease.put(tracker.run.key(), tracker));
         outcomeProposer.proposeLost(session, lost);
-        removeIfUnresponsive(session, nowMs);
+        if (isLongestLeaseExpired) {
+            removeIfUnresponsive(session, nowMs);
+        }
     }
 
     private void removeIfUnresponsive(WorkerSession session, long nowMs) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerReports.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerReports.java
@@ -56,7 +56,7 @@
         WorkerRecord current = machine.workers().get(reported.getId());
         Runnable admit = () -> propose.accept(GraphCommandProto.newBuilder().setWorker(reported));
         if (current == null || current.info().getBornMs() < reported.getBornMs()) {
-            handleNewIncarnation(reported, current == null, acknowledge, admit, nowMs);
+            handleNewIncarnation(reported, current == null, acknowledge, propose, nowMs);
             return;
         }
         if (isOutdated(current.info(), reported, nowMs)) {
@@ -92,13 +92,17 @@
     }
 
     private void handleNewIncarnation(
-            WorkerProto reported, boolean isNewId, Runnable acknowledge, Runnable admit, long nowMs) {
+            WorkerProto reported,
+            boolean isNewId,
+            Runnable acknowledge,
+            Consumer<GraphCommandProto.Builder> propose,
+            long nowMs) {
         if (!machine.isKnownPool(reported.getPool())) {
             ignore(reported, IgnoredReport.UNKNOWN_POOL, acknowledge);
         } else if (isNewId && isOlderThanAddressHolder(reported)) {
             ignore(reported, IgnoredReport.OUTDATED_INCARNATION, acknowledge);
         } else {
-            claims.add(reported, acknowledge, admit, nowMs);
+            claims.add(reported, acknowledge, propose, nowMs);
         }
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -33,28 +33,35 @@
     final WorkerRecord record;
     final WorkerClock clock = new WorkerClock();
     final Map<RunKey, RunTracker> runs = new HashMap<>();
-    /** Runs given up while their start may still arrive; they are stopped before the worker is used again. */
-    final Set<RunKey> abandonedRuns = new HashSet<>();
     /** Runs that the worker last listed although the log does not have them there; they hold resources until they end. */
     final Set<RunKey> unknownRuns = new HashSet<>();
-    /** The starts that may still arrive at this worker or at its next incarnations. */
-    final LateStarts lateStarts;
-
     /** Runs that were given up when the lease expired; a crash that is noticed later counts against them as well. */
     final Map<RunKey, RunTracker> runsLostWithLease = new HashMap<>();
 
     /** When each start that awaits its answer was sent, the oldest first. */
     private final Map<RunKey, Long> unansweredStartsSentMs = new LinkedHashMap<>();
 
-    /** The worker has seen the fencing token of this term and had no abandoned runs; it may get leases and orders. */
+    /**
+     * Accompanies all orders to this incarnation. It is raised before the worker is used again after runs were given up, and
+     * when another incarnation answers, so that no earlier order can begin a run any more.
+     */
+    long fencingToken;
+
+    /** The worker has seen the fencing token, and its runs are known; it may get leases and orders. */
     boolean activated;
     /** What the worker has reported lately. */
     final ReportHistory reports;
 
-    /** The worker gets no leases and no starts until it answers and all its abandoned runs are stopped. */
+    /** The worker gets no leases and no starts until it lists its runs under a fencing token that was raised since. */
     boolean quarantined;
-    /** A renewal, or the stop of an abandoned run sent in its place, awaits its answer. */
+    /** A renewal awaits its answer. */
     boolean renewalInFlight;
+    /** The answer to a start showed another clock; until the next listing the worker gets no starts. */
+    boolean otherIncarnationSuspected;
+    /** When an order that carries a lease was last sent, on the monotonic clock in milliseconds. */
+    long lastLeaseSentMs;
+    /** What is known of the incarnation that has taken the place of this one, or null while none has. */
+    Succession succession;
     /** A renewal went unanswered, and the worker has not listed its runs since; it may be another incarnation. */
     boolean incarnationUnconfirmed;
     /** An order or a renewal went unanswered, and no answer has arrived since. */
@@ -88,10 +95,11 @@
 
     long startsPausedUntilMs;
 
-    WorkerSession(WorkerRecord record, LateStarts lateStarts, long nowMs) {
+    WorkerSession(WorkerRecord record, long fencingToken, long nowMs) {
         this.record = record;
-        this.lateStarts = lateStarts;
+        this.fencingToken = fencingToken;
         this.lastAnswerMs = nowMs;
+        this.lastLeaseSentMs = nowMs;
         this.reports = new ReportHistory(record.info(), nowMs);
         this.proposedCursor = record.cursor();
     }
@@ -197,6 +205,17 @@
         return unknownRuns.isEmpty();
     }
 
+    /** Whether another incarnation has taken the place of this one, which gets no further orders. */
+    boolean isSucceeded() {
+        return succession != null;
+    }
+
+    /** Whether runs of this incarnation may go on under a lease that was reckoned on another clock. */
+    boolean mayRunOnSuccessor() {
+        return runs.values().stream()
+                .anyMatch(tracker -> tracker.phase != RunTracker.Phase.ENDING && tracker.mayRunOnSuccessor());
+    }
+
     /** Whether the worker has announced its end. */
     boolean isLeaving() {
         return reports.isEndAnnounced() || info().getDraining();
@@ -208,6 +227,8 @@
                 && !quarantined
                 && !isLeaving()
                 && !removalProposed
+                && !isSucceeded()
+                && !otherIncarnationSuspected
                 && !lastOrderUnanswered
                 && isFullyAccounted()
                 && !isStartOverdue(nowMs)
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lovagegrade.wire.proto.CallerOutcomeProto;
@@ -29,6 +30,7 @@
 import org.lovagegrade.wire.proto.TaskStateGraphProto;
 import org.lovagegrade.wire.proto.WorkerGoneProto;
 import org.lovagegrade.wire.proto.WorkerProto;
+import org.lovagegrade.wire.proto.WorkerSuccessionProto;
 
 /**
  * The replicated state: the configuration, jobs with their tasks, runs, and workers. It is deterministic: the same
@@ -185,6 +187,7 @@
             case END -> applyEnds(command.getEnd());
             case WORKER -> applyWorker(command.getWorker());
             case WORKER_GONE -> applyWorkerGone(command.getWorkerGone());
+            case SUCCESSION -> applySuccession(command.getSuccession());
             default -> {}
         }
         return GraphReplyProto.getDefaultInstance();
@@ -451,6 +454,12 @@
             listener.workerChanged(present);
             return;
         }
+        replaceIncarnations(present, reported, List.of());
+    }
+
+    /** Replaces the former incarnations of a worker by a new one, to which the given runs move. */
+    private void replaceIncarnations(WorkerRecord present, WorkerProto reported, List<RunRecord> adopted) {
+        adopted.forEach(runs::removeRun);
         for (WorkerRecord other : List.copyOf(runs.workers().values())) {
             boolean isPreviousIncarnation =
                     other == present || other.info.getAddress().equals(reported.getAddress());
@@ -460,9 +469,27 @@
         }
         WorkerRecord added = new WorkerRecord(reported);
         runs.addWorker(added);
+        adopted.forEach(run -> runs.addRun(run.movedTo(reported.getBornMs())));
         listener.workerChanged(added);
     }
 
+    /** A succession of an incarnation that has been removed meanwhile only adds the new one. */
+    private void applySuccession(WorkerSuccessionProto succession) {
+        WorkerProto reported = succession.getWorker();
+        WorkerRecord present = runs.workers().get(reported.getId());
+        if (present == null || present.info.getBornMs() != succession.getFormerBornMs()) {
+            applyWorker(reported);
+            return;
+        }
+        List<RunRecord> adopted = succession.getAdoptedList().stream()
+                .map(RunKey::of)
+                .distinct()
+                .map(present.runs()::get)
+                .filter(Objects::nonNull)
+                .toList();
+        replaceIncarnations(present, reported, adopted);
+    }
+
     private void applyWorkerGone(WorkerGoneProto gone) {
         runs.worker(gone.getWorker(), gone.getBornMs()).ifPresent(this::remove);
     }
--- a/graph/src/main/java/org/lovagegrade/graph/machine/RunRecord.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/RunRecord.java
@@ -21,6 +21,11 @@
                 start.getCheckpoint());
     }
 
+    /** The same run on the incarnation that has accepted it in place of a former one. */
+    RunRecord movedTo(long newBornMs) {
+        return new RunRecord(key, step, worker, newBornMs, checkpoint);
+    }
+
     StartProto toProto() {
         return StartProto.newBuilder()
                 .setTask(key.task().toProto())
--- a/graph/src/main/java/org/lovagegrade/graph/worker/StartOrder.java
+++ b/graph/src/main/java/org/lovagegrade/graph/worker/StartOrder.java
@@ -8,7 +8,7 @@
  * @param run the run
  * @param payload the job's specification, as submitted by its caller
  * @param untilMs when the lease of all runs on the worker expires, on the worker's own clock in milliseconds
- * @param fencingToken the term of the leader that sends the order
+ * @param fencingToken a number above those of all orders that must have no effect after this one
  * @param checkpoint the checkpoint from which to continue, or an empty string
  * @param ticket the adviser's permission, or an empty string
  */
--- a/graph/src/main/java/org/lovagegrade/graph/worker/WorkerLink.java
+++ b/graph/src/main/java/org/lovagegrade/graph/worker/WorkerLink.java
@@ -20,7 +20,7 @@
      *
      * @param worker the incarnation of the worker
      * @param run the run
-     * @param fencingToken the term of the leader that sends the order
+     * @param fencingToken a number above those of all orders that must have no effect after this one
      * @param result receives the outcome
      */
     void stop(WorkerProto worker, RunKey run, long fencingToken, Consumer<OrderOutcome> result);
@@ -35,12 +35,13 @@
     void renew(WorkerProto worker, RenewOrder order, Consumer<RenewOutcome> result);
 
     /**
-     * Asks which incarnation answers at a worker's address, without waiting for orders and renewals that are under way.
-     * The answer shows that this incarnation is up, or refuses the question as another one; nothing is changed there but
-     * the highest fencing token.
+     * Asks which incarnation answers at a worker's address and which runs it has, without waiting for orders and renewals
+     * that are under way, and over a new connection, since those to a former incarnation are dead. The answer shows which
+     * incarnation is up, or refuses the question as one with another id; nothing is changed there but the highest fencing
+     * token.
      *
      * @param worker the incarnation that is expected to answer
-     * @param fencingToken the term of the leader that asks
+     * @param fencingToken a number above those of all orders that must have no effect after this question
      * @param result receives the outcome
      */
     void identify(WorkerProto worker, long fencingToken, Consumer<RenewOutcome> result);
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -47,6 +47,9 @@
     static final String POOL = "pool";
     private static final String QUEUE = "queue";
     static final long LEASE_MS = 4_000;
+    /** To how long a worker shortens a longer lease. */
+    static final long MAX_LEASE_MS = 4_400;
+
     private static final long TICK_MS = 5;
     private static final ResourceVector CAPACITY = new ResourceVector(4_000, 4_000, 0);
     private static final ResourceVector HALF_CAPACITY = new ResourceVector(2_000, 4_000, 0);
@@ -55,6 +58,7 @@
 
     private static final long HEARTBEAT_MS = 1_500;
     private static final long ANSWER_TIMEOUT_MS = 300;
+    private static final long RENEWAL_TIMEOUT_MS = 800;
     private static final long MAX_ORDER_DELAY_MS = 12_000;
     /** After this many crashes, a task that crashes its workers may be started less than three times more. */
     private static final int CRASH_LIMIT = 3;
@@ -91,6 +95,7 @@
     private long lastCommitMs;
     private boolean acceptsExpiredStarts;
     private boolean comparesIdsOnly;
+    private boolean crashesInSilence;
     private boolean carriesOutUnansweredLate;
     private boolean stopsSlowly;
     private boolean changesIds;
@@ -148,6 +153,11 @@
         comparesIdsOnly = true;
     }
 
+    /** From now on a renewal that awaits its answer when its worker crashes fails at its timeout only. */
+    void crashInSilence() {
+        crashesInSilence = true;
+    }
+
     /** From now on all orders and renewals that go unanswered are carried out, 2 to 12 seconds later. */
     void carryOutUnansweredOrdersLate() {
         carriesOutUnansweredLate = true;
@@ -355,7 +365,7 @@
                         link,
                         queue,
                         proposer,
-                        new LeaderTimings(LEASE_MS, stopsSlowly ? SLOW_STOP_MS : STOP_MS, HEARTBEAT_MS, CONTACT_MS),
+                        timings(),
                         time,
                         Metrics.create(),
                         link::isEvacuated,
@@ -369,6 +379,11 @@
         machine.setListener(duties);
     }
 
+    private LeaderTimings timings() {
+        return new LeaderTimings(
+                LEASE_MS, MAX_LEASE_MS, stopsSlowly ? SLOW_STOP_MS : STOP_MS, HEARTBEAT_MS, CONTACT_MS);
+    }
+
     /** Commits after a random delay, in the order of the proposals, as one leader's log does. */
     private void commit(long ownTerm, GraphCommandProto.Builder command, Consumer<GraphReplyProto> reply) {
         lastCommitMs = Math.max(lastCommitMs, time.nowMs() + 1 + random.nextInt(15));
@@ -449,6 +464,11 @@
         crash(worker(number), REBOOT_MS);
     }
 
+    /** Crashes a worker, which starts again under its id after the given time. */
+    void crashWorkerAt(int number, long durationMs) {
+        crash(worker(number), durationMs);
+    }
+
     /** Crashes a worker that has a run of the job. */
     void crashWorkerOf(String job) {
         crash(workerOf(job), REBOOT_MS);
@@ -554,6 +574,10 @@
                 .build());
     }
 
+    void cancelAll() {
+        machine.activeJobs().stream().map(JobRecord::id).toList().forEach(this::cancel);
+    }
+
     JobRecord job(String id) {
         return machine.job(id).orElseThrow();
     }
@@ -752,8 +776,15 @@
             }
             return;
         }
+        SimulatedWorker addressee = workers.get(to.getAddress());
+        boolean wasUp = addressee != null && addressee.isUp();
         time.after(1 + random.nextInt(4) + Math.min(order.waitMs(), random.nextInt(200)), () -> {
             SimulatedWorker worker = workers.get(to.getAddress());
+            if (crashesInSilence && wasUp && !addressee.isUp()) {
+                time.after(
+                        order.waitMs() + RENEWAL_TIMEOUT_MS, () -> result.accept(new RenewOutcome.Unanswered(false)));
+                return;
+            }
             boolean isReachable = worker != null && worker.isUp() && !partitioned.contains(to.getAddress());
             if (isReachable && !isAddressee(worker, to)) {
                 result.accept(new RenewOutcome.Refused(OrderRefusal.OTHER_LIFE));
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedWorker.java
@@ -205,7 +205,7 @@
     }
 
     private void grant(long untilMs) {
-        leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+        leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, clockMs() + SimulatedCell.MAX_LEASE_MS));
         time.after((long) ((leaseUntilMs - clockMs()) / clockRate) + 1, this::expireLease);
     }
 
--- a/graph/src/test/java/org/lovagegrade/graph/leader/UnresponsiveDomainsTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/UnresponsiveDomainsTest.java
@@ -27,7 +27,7 @@
                         .setAddress(id + ":1")
                         .setFailureDomain(domain))
                 .build());
-        WorkerSession session = new WorkerSession(machine.workers().get(id), new LateStarts(), SENT_MS);
+        WorkerSession session = new WorkerSession(machine.workers().get(id), 1, SENT_MS);
         session.activated = true;
         sessions.add(session);
         return session;
--- a/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/WorkerDriverFuzzTest.java
@@ -149,7 +149,7 @@
         }
 
         @Test
-        void shouldBeDetectedWhenInDoubtRunsAreNotStopped() {
+        void shouldBeDetectedWhenTheFencingTokenIsNotRaised() {
             assertThat(isDetectedWithin(SEEDS, new DriverSafeguards(true, false, true, true)))
                     .isTrue();
         }
