--- a/graph/src/main/java/org/lovagegrade/graph/leader/CallerRequestHandler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/CallerRequestHandler.java
@@ -28,6 +28,7 @@
     private final CallerCommandProposer proposer;
     private final Metrics metrics;
     private final Optional<SubmissionGate> gate;
+    private final JobLookup jobLookup;
 
     /** Proposes commands on behalf of callers. */
     @FunctionalInterface
@@ -48,6 +49,7 @@
             GraphStateMachine machine, CallerCommandProposer proposer, Metrics metrics, Optional<SubmissionGate> gate) {
         this.gate = gate;
         this.machine = machine;
+        this.jobLookup = new JobLookup(machine);
         this.proposer = proposer;
         this.metrics = metrics.declare(CALLER_OUTCOMES, CallerOutcomeProto.class);
     }
@@ -98,6 +100,8 @@
         GraphProto graph = request.getGraph().toBuilder()
                 .setId(target.jobId())
                 .setQueue(target.queue().getName())
+                .setHost(target.queue().getHost())
+                .setPathPrefix(target.queue().getPathPrefix())
                 .setWorkspace(target.workspace())
                 .build();
         Optional<AdmissionDecision.Refused> refusal = gate.flatMap(present -> present.refusal(graph, target.queue()));
@@ -131,14 +135,13 @@
     }
 
     private Optional<JobRecord> findJob(Target target) {
-        return machine.job(target.jobId())
-                .filter(job -> job.graph().getQueue().equals(target.queue().getName()));
+        return jobLookup.find(target.queue(), target.workspace(), target.jobId());
     }
 
     private GraphReplyProto pending(QueueProto queue) {
         long pending = machine.activeJobs().stream()
                 .filter(job -> job.state() == GraphStateProto.GRAPH_QUEUED)
-                .filter(job -> job.graph().getQueue().equals(queue.getName()))
+                .filter(job -> jobLookup.isOf(job, queue))
                 .count();
         return GraphReplyProto.newBuilder()
                 .setCaller(CallerReplyProto.newBuilder().setPending(pending))
