--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -200,7 +200,6 @@
         String step = run.step().name();
         workAccount.runStarted(run, nowMs);
         driver.runStarted(run, adviceBroker.ticket(step, run.worker()), nowMs);
-        jobAccounting.runStarted(run);
         suspectWaits.forgetTask(run.key().task());
         dirty = true;
     }
@@ -250,6 +249,11 @@
         driver.requestStop(run, clock.nowMs());
     }
 
+    @Override
+    public void jobBegun(JobRecord job) {
+        jobAccounting.jobBegun(job);
+    }
+
     @Override
     public void jobAccepted(JobRecord job) {
         dirty = true;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/JobAccounting.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/JobAccounting.java
@@ -1,22 +1,18 @@
 package org.lovagegrade.graph.leader;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.lovagegrade.graph.machine.GraphStateMachine;
 import org.lovagegrade.graph.machine.JobRecord;
-import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.StepRecord;
 import org.lovagegrade.graph.planning.Urgency;
 import org.lovagegrade.graph.planning.WorkEstimate;
 import org.lovagegrade.kernel.Clock;
 import org.lovagegrade.kernel.logging.Log;
 import org.lovagegrade.kernel.metrics.Metrics;
-import org.lovagegrade.wire.proto.GraphStateProto;
 import org.lovagegrade.wire.proto.QueueProto;
 
-/** Reports the acceptance and the end of jobs, and measures how long they wait for their first start. */
+/** Reports the acceptance and the end of jobs, and measures how long they wait until their first run begins. */
 final class JobAccounting {
     private static final String JOBS_OVER = "lovagegrade_jobs_over";
     private static final String JOB_WAIT_MS = "lovagegrade_job_wait_ms";
@@ -24,16 +20,11 @@
     private final GraphStateMachine machine;
     private final Clock wallClock;
     private final Metrics metrics;
-    /** The ids of the active jobs that have started. */
-    private final Set<String> started = new HashSet<>();
 
     JobAccounting(GraphStateMachine machine, Clock wallClock, Metrics metrics) {
         this.machine = machine;
         this.wallClock = wallClock;
         this.metrics = metrics.declare(JOBS_OVER, JobResult.class);
-        machine.activeJobs().stream()
-                .filter(job -> job.state() != GraphStateProto.GRAPH_QUEUED)
-                .forEach(job -> started.add(job.id()));
     }
 
     void jobAccepted(JobRecord job) {
@@ -51,18 +42,14 @@
                 .info();
     }
 
-    void runStarted(RunRecord run) {
-        JobRecord job = run.step().job();
-        if (started.add(job.id())) {
-            long waitedMs = wallClock.nowMs() - job.dueAtMs(run.step().occurrence());
-            PriorityBand band =
-                    PriorityBand.of(queueOf(job).map(QueueProto::getPriority).orElse(0));
-            metrics.record(JOB_WAIT_MS, "priority", band, (double) Math.max(0, waitedMs));
-        }
+    void jobBegun(JobRecord job) {
+        long waitedMs = wallClock.nowMs() - job.dueAtMs(0);
+        PriorityBand band =
+                PriorityBand.of(queueOf(job).map(QueueProto::getPriority).orElse(0));
+        metrics.record(JOB_WAIT_MS, "priority", band, (double) Math.max(0, waitedMs));
     }
 
     void jobFinished(JobRecord job) {
-        started.remove(job.id());
         long nowMs = wallClock.nowMs();
         Optional<QueueProto> queue = queueOf(job);
         JobResult result = JobResult.of(job, queue, nowMs);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
@@ -15,11 +15,13 @@
     private final WorkerLink link;
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
+    private final BegunJobs begunJobs;
 
-    ListingReconciler(WorkerLink link, OutcomeProposer outcomeProposer, OrderSender orderSender) {
+    ListingReconciler(WorkerLink link, OutcomeProposer outcomeProposer, OrderSender orderSender, BegunJobs begunJobs) {
         this.link = link;
         this.outcomeProposer = outcomeProposer;
         this.orderSender = orderSender;
+        this.begunJobs = begunJobs;
     }
 
     /** Handles a listing that was requested at {@code requestedAtMs}. */
@@ -59,6 +61,7 @@
         }
         tracker.recordCheckpoint(view.checkpoint(), nowMs);
         tracker.recordExistence(nowMs);
+        begunJobs.add(tracker.run);
         tracker.begunByAddressee = true;
         tracker.recordProgress(view.percent(), nowMs);
         boolean isUnconfirmed =
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -19,6 +19,7 @@
     private final WorkerDriver.Dependencies dependencies;
     private final DriverTerm term;
     private final OutcomeProposer outcomeProposer;
+    private final BegunJobs begunJobs;
     private final BiPredicate<WorkerSession, RunTracker> isCurrent;
 
     /**
@@ -27,16 +28,19 @@
      * @param dependencies the dependencies of the driver
      * @param term the term of the orders
      * @param outcomeProposer proposes ends of runs and removals of workers
+     * @param begunJobs collects the jobs of confirmed runs
      * @param isCurrent whether the run is still on that incarnation of the worker according to the log
      */
     OrderSender(
             WorkerDriver.Dependencies dependencies,
             DriverTerm term,
             OutcomeProposer outcomeProposer,
+            BegunJobs begunJobs,
             BiPredicate<WorkerSession, RunTracker> isCurrent) {
         this.dependencies = dependencies;
         this.term = term;
         this.outcomeProposer = outcomeProposer;
+        this.begunJobs = begunJobs;
         this.isCurrent = isCurrent;
     }
 
@@ -127,6 +131,7 @@
             recordIncarnation(session, tracker, done.clockMs(), nowMs);
             session.recordAnswer(nowMs);
             tracker.recordExistence(nowMs);
+            begunJobs.add(tracker.run);
             tracker.phase = RunTracker.Phase.CONFIRMED;
             tracker.inDoubt = false;
             tracker.listingValidFromMs = nowMs;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -60,6 +60,7 @@
     private final DriverTerm term;
     private final RunAccounting accounting;
     private final OutcomeProposer outcomeProposer;
+    private final BegunJobs begunJobs;
     private final OrderSender orderSender;
     private final ListingReconciler listingReconciler;
     private final SuccessionHandler successionHandler;
@@ -80,12 +81,14 @@
         this.accounting = new RunAccounting(clock, metrics);
         this.outcomeProposer =
                 new OutcomeProposer(dependencies.proposer(), new CrashAttribution(sessions::values, clock), accounting);
+        this.begunJobs = new BegunJobs(dependencies.proposer());
         this.orderSender = new OrderSender(
                 dependencies,
                 this.term,
                 outcomeProposer,
+                begunJobs,
                 (session, tracker) -> isCurrent(session) && session.runs.get(tracker.run.key()) == tracker);
-        this.listingReconciler = new ListingReconciler(link, outcomeProposer, orderSender);
+        this.listingReconciler = new ListingReconciler(link, outcomeProposer, orderSender, begunJobs);
         this.successionHandler =
                 new SuccessionHandler(dependencies, this.term, outcomeProposer, orderSender, this::isCurrent);
     }
@@ -349,6 +352,7 @@
     // --- timer
 
     void tick(long nowMs) {
+        begunJobs.tick(nowMs);
         for (WorkerSession session : List.copyOf(sessions.values())) {
             if (session.isSucceeded()) {
                 successionHandler.tick(session, nowMs);
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateListener.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateListener.java
@@ -58,6 +58,13 @@
      */
     default void workerChanged(WorkerRecord worker) {}
 
+    /**
+     * A worker is known to have begun a task of a job, for the first time.
+     *
+     * @param job the job
+     */
+    default void jobBegun(JobRecord job) {}
+
     /**
      * An incarnation of a worker was removed.
      *
--- a/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
+++ b/graph/src/main/java/org/lovagegrade/graph/machine/GraphStateMachine.java
@@ -184,6 +184,8 @@
                 return evacuate(command.getEvacuation());
             }
             case START -> applyStarts(command.getStart());
+            case BEGUN ->
+                command.getBegun().getJobsList().forEach(id -> jobs.find(id).ifPresent(this::begin));
             case END -> applyEnds(command.getEnd());
             case WORKER -> applyWorker(command.getWorker());
             case WORKER_GONE -> applyWorkerGone(command.getWorkerGone());
@@ -337,14 +339,19 @@
         TaskRecord task = step.tasks().get(key.index());
         step.setState(task, TaskStateGraphProto.GRAPH_TASK_RUNNING);
         task.run = start.getRun();
-        if (step.job().state == GraphStateProto.GRAPH_QUEUED) {
-            step.job().state = GraphStateProto.GRAPH_RUNNING;
-        }
         RunRecord run = RunRecord.of(start, step);
         runs.addRun(run);
         listener.runStarted(run);
     }
 
+    /** Records that a worker has begun a task of the job; a committed start alone only intends that. */
+    private void begin(JobRecord job) {
+        if (job.state == GraphStateProto.GRAPH_QUEUED) {
+            job.state = GraphStateProto.GRAPH_RUNNING;
+            listener.jobBegun(job);
+        }
+    }
+
     // --- ends
 
     private void applyEnds(EndsProto ends) {
@@ -379,6 +386,9 @@
     private void endRun(RunRecord run, RunEndProto runEnd, String checkpoint) {
         boolean wasObsolete = run.isObsolete();
         runs.removeRun(run);
+        if (provesBeginning(runEnd) || !checkpoint.isEmpty()) {
+            begin(run.step().job());
+        }
         listener.runEnded(run, runEnd);
         if (wasObsolete) {
             return;
@@ -394,6 +404,11 @@
         }
     }
 
+    /** Whether only a run that has begun can end in this way. */
+    private static boolean provesBeginning(RunEndProto runEnd) {
+        return runEnd != RunEndProto.RUN_REFUSED && runEnd != RunEndProto.RUN_LOST;
+    }
+
     private static void saveCheckpoint(StepRecord step, TaskRecord task, String checkpoint) {
         if (checkpoint.isEmpty()) {
             return;
--- a/graph/src/test/java/org/lovagegrade/graph/machine/GraphStateMachineTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/machine/GraphStateMachineTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lovagegrade.wire.proto.BegunJobsProto;
 import org.lovagegrade.wire.proto.CallerOutcomeProto;
 import org.lovagegrade.wire.proto.EndProto;
 import org.lovagegrade.wire.proto.EndsProto;
@@ -116,6 +117,17 @@
                                 .setCheckpoint("saved" + run))));
     }
 
+    private void applyEndWithoutCheckpoint(String worker, String job, int run, RunEndProto runEnd) {
+        apply(GraphCommandProto.newBuilder()
+                .setEnd(EndsProto.newBuilder()
+                        .setWorker(worker)
+                        .setBornMs(1)
+                        .addEnds(EndProto.newBuilder()
+                                .setTask(new TaskKey(job, 0, 0, 0).toProto())
+                                .setRun(run)
+                                .setHow(runEnd))));
+    }
+
     private GraphStateProto stateOf(String job) {
         return machine.job(job).orElseThrow().state();
     }
@@ -174,6 +186,41 @@
             assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_COMPLETED);
         }
 
+        /** Guards against jobs that count as begun although their starts never reach a worker (MIXED, review/9). */
+        @Test
+        void shouldStayQueuedUntilAWorkerHasBegunATask() {
+            submit("a", step(1, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_QUEUED);
+
+            apply(GraphCommandProto.newBuilder()
+                    .setBegun(BegunJobsProto.newBuilder().addJobs("a").addJobs("unknown")));
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_RUNNING);
+        }
+
+        /** Guards against the same after a start that was refused, or that was lost without a sign of the run. */
+        @Test
+        void shouldStayQueuedWhenStartsComeToNothing() {
+            submit("a", step(1, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            applyEndWithoutCheckpoint("w1", "a", 1, RunEndProto.RUN_REFUSED);
+            applyStarts(startOf("a", 0, 0, 2, "w1"));
+            applyEndWithoutCheckpoint("w1", "a", 2, RunEndProto.RUN_LOST);
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_QUEUED);
+            assertThat(task("a", 0, 0).isWaiting()).isTrue();
+        }
+
+        @Test
+        void shouldHaveBegunWhenAWorkerListsTheEndOfARun() {
+            submit("a", step(2, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            applyEndWithoutCheckpoint("w1", "a", 1, RunEndProto.RUN_FAILED);
+
+            assertThat(stateOf("a")).isEqualTo(GraphStateProto.GRAPH_RUNNING);
+        }
+
         @Test
         void shouldFailWhenTaskHasUsedAllAttempts() {
             submit("a", step(1, false));
