Starts committed before a failed renewal wait for the next list, so that no lease goes to the next life by the former's clock

Traced: the renewal before had failed, so that nothing new was placed there, but a start that had been committed just before was still sent, with the lease that the former life had.

Fix: no start is sent between a failed renewal and the next list (150 ms and a round trip when the worker is well).

--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -91,7 +91,9 @@
      * same id, which would begin a run that the former one has lost, and perhaps crash under it as well.
      */
     private static boolean isIncarnationConfirmed(WorkerSession session, RunTracker tracker) {
-        return session.lastListedMs > tracker.lastFailureMs && !session.otherIncarnationSuspected;
+        return session.lastListedMs > tracker.lastFailureMs
+                && !session.incarnationUnconfirmed
+                && !session.otherIncarnationSuspected;
     }
 
     private void start(WorkerSession session, RunTracker tracker, long nowMs) {
