--- a/graph/src/test/java/org/lovagegrade/graph/leader/LateOrderTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/LateOrderTest.java
@@ -36,8 +36,29 @@
         }
     }
 
+    @Nested
+    final class Runs {
+        /** Guards against late starts that the next incarnation begins while their tasks run elsewhere (TWICE, review/7). */
+        @Test
+        void shouldNotBeginTwiceAtATime() {
+            assertNoneViolated("one run at a time", 78, 90, 228);
+        }
+
+        /** Guards against the same where the worker is also cut off, so that its next incarnation can't be asked. */
+        @Test
+        void shouldNotBeginTwiceAtATimeWhenTheNextIncarnationIsCutOff() {
+            assertNoneViolated("one run at a time", 86, 118, 226);
+        }
+    }
+
     @Nested
     final class Leases {
+        /** Guards against the same where no renewal has failed yet. */
+        @Test
+        void shouldNotBeReckonedOnTheClockOfAFormerIncarnationBeforeARenewalFails() {
+            assertNoneViolated("length of the lease", 66, 94, 164, 190);
+        }
+
         /** Guards against a worker that, once restarted, keeps its runs for as long as its former incarnation was up. */
         @Test
         void shouldNotBeReckonedOnTheClockOfAFormerIncarnation() {
