--- a/graph/src/test/java/org/lovagegrade/graph/leader/RebornWorkerTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/RebornWorkerTest.java
@@ -1,5 +1,6 @@
 package org.lovagegrade.graph.leader;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.stream.LongStream;
@@ -33,6 +34,16 @@
             assertNothingViolated(RebootScenario::withSeed);
         }
 
+        /** Guards against a simulation in which the next incarnation never accepts what was meant for the former one. */
+        @Test
+        void shouldGoOnWithTheNextIncarnation() {
+            int adoptedRuns = LongStream.range(0, SEEDS)
+                    .mapToInt(seed -> RebootScenario.withSeed(seed).simulate().adoptedRuns())
+                    .sum();
+
+            assertThat(adoptedRuns).isAtLeast(1);
+        }
+
         /** Guards against runs that are given up before a lease has expired that was reckoned on the former clock. */
         @Test
         void shouldNotBeginElsewhereWhileTheNextIncarnationIsCutOff() {
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -103,6 +103,7 @@
     private final Map<TaskKey, Integer> crashesByTask = new HashMap<>();
 
     private int crashesWithRunsOfOtherJobs;
+    private int adoptedRuns;
     private boolean runsSucceed;
     private int maxListedEnds = Integer.MAX_VALUE;
     /** The highest run of each task that a worker has begun. */
@@ -252,6 +253,11 @@
         return crashesWithRunsOfOtherJobs;
     }
 
+    /** How many runs have gone on with the next incarnation of their worker. */
+    int adoptedRuns() {
+        return adoptedRuns;
+    }
+
     int crashesOf(TaskKey task) {
         return crashesByTask.get(task);
     }
@@ -390,6 +396,7 @@
         time.after(lastCommitMs - time.nowMs(), () -> {
             boolean isInherited = leader == null && inheritedTerm == ownTerm;
             if (term == ownTerm || isInherited) {
+                adoptedRuns += command.getSuccession().getAdoptedCount();
                 GraphReplyProto answer =
                         machine.apply(command.setAtMs(time.nowMs()).build());
                 if (!isInherited) {
--- a/graph/src/test/java/org/lovagegrade/graph/machine/GraphStateMachineTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/machine/GraphStateMachineTest.java
@@ -27,6 +27,7 @@
 import org.lovagegrade.wire.proto.StartsProto;
 import org.lovagegrade.wire.proto.StepProto;
 import org.lovagegrade.wire.proto.WorkerProto;
+import org.lovagegrade.wire.proto.WorkerSuccessionProto;
 
 final class GraphStateMachineTest {
     private static final long RETENTION_MS = 10_000;
@@ -303,6 +304,67 @@
         }
     }
 
+    @Nested
+    final class Successions {
+        private void succeed(String worker, long formerBornMs, long bornMs, RunKey... adopted) {
+            WorkerSuccessionProto.Builder succession = WorkerSuccessionProto.newBuilder()
+                    .setWorker(WorkerProto.newBuilder()
+                            .setId(worker)
+                            .setBornMs(bornMs)
+                            .setAddress(worker + ":1")
+                            .setPool("pool"))
+                    .setFormerBornMs(formerBornMs);
+            for (RunKey run : adopted) {
+                succession.addAdopted(run.toProto());
+            }
+            apply(GraphCommandProto.newBuilder().setSuccession(succession));
+        }
+
+        private RunKey run(int index) {
+            return new RunKey(new TaskKey("a", 0, 0, index), 1);
+        }
+
+        /** Guards against a second run of what the next incarnation of a worker has accepted (TWICE, review/6). */
+        @Test
+        void shouldMoveAdoptedRunsAndLoseTheOthers() {
+            submit("a", step(2, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"), startOf("a", 0, 1, 1, "w1"));
+
+            succeed("w1", 1, 2, run(0));
+
+            assertThat(task("a", 0, 0).isRunning()).isTrue();
+            assertThat(task("a", 0, 1).isWaiting()).isTrue();
+            assertThat(machine.runs().get(run(0)).bornMs()).isEqualTo(2);
+            assertThat(machine.workers().get("w1").runs().keySet()).containsExactly(run(0));
+            assertThat(machine.usedBy("team").milliCores()).isEqualTo(1_000);
+        }
+
+        @Test
+        void shouldKeepAdoptedRunsInSnapshots() {
+            submit("a", step(1, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            succeed("w1", 1, 2, run(0));
+
+            machine.restore(machine.snapshot());
+
+            assertThat(machine.workers().get("w1").runs().keySet()).containsExactly(run(0));
+        }
+
+        /** Guards against a copy of the command that arrives after yet another incarnation. */
+        @Test
+        void shouldAdoptNothingFromAnIncarnationThatIsGone() {
+            submit("a", step(1, false));
+            applyStarts(startOf("a", 0, 0, 1, "w1"));
+            applyWorker("w1", 2);
+
+            succeed("w1", 1, 3, run(0));
+
+            assertThat(task("a", 0, 0).isWaiting()).isTrue();
+            assertThat(machine.workers().get("w1").info().getBornMs()).isEqualTo(3);
+            assertThat(machine.runs()).isEmpty();
+        }
+    }
+
     @Nested
     final class Workers {
         @Test
