--- a/graph/src/main/java/org/lovagegrade/graph/leader/DriverSafeguards.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/DriverSafeguards.java
@@ -6,8 +6,8 @@
  * prove that the checks of the simulation detect the resulting violations.
  *
  * @param awaitLeaseExpiry whether runs on a lost worker are given up only after every lease there has expired
- * @param raiseFencingToken whether a worker that comes back, or another incarnation of it, first gets a fencing token that
- *     is higher than those of the orders that may still arrive
+ * @param raiseFencingToken whether a worker on which runs were given up first gets a fencing token that is higher than
+ *     those of the orders that may still arrive
  * @param withdrawEvacuatedStarts whether committed starts are withdrawn once their failure domain is evacuated
  * @param requireLeaseToStart whether starts are sent only while this replica holds the leader lease
  */
--- a/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/OrderSender.java
@@ -62,7 +62,7 @@
                     withdrawStart(session, tracker, WithdrawalReason.OVER_CAPACITY);
                 } else if (isEvacuated(session)) {
                     withdrawStart(session, tracker, WithdrawalReason.EVACUATED);
-                } else if (session.isFullyAccounted() && isIncarnationConfirmed(session, tracker) && mayGrantLeases()) {
+                } else if (session.isFullyAccounted() && isIncarnationConfirmed(session, tracker) && mayStart()) {
                     start(session, tracker, nowMs);
                 }
             }
@@ -81,7 +81,7 @@
     }
 
     /** A leader that was paused may have been deposed, and its successor may have committed an evacuation. */
-    boolean mayGrantLeases() {
+    private boolean mayStart() {
         return !dependencies.safeguards().requireLeaseToStart()
                 || dependencies.holdsLease().getAsBoolean();
     }
@@ -230,7 +230,7 @@
 
     /** An order that a later token of this leader has overtaken says nothing about other leaders. */
     void markFencedOutIfLatest(WorkerSession session, long fencingToken) {
-        if (fencingToken == session.fencingToken) {
+        if (session.isLatestFencingToken(fencingToken)) {
             term.markFencedOut();
         }
     }
@@ -259,8 +259,8 @@
             dependencies.metrics().count(WorkerDriver.ORDER_REFUSALS, refused.reason());
             if (refused.reason() == OrderRefusal.FENCED) {
                 markFencedOutIfLatest(session, fencingToken);
-                tracker.nextSendMs = nowMs + RETRY_DELAY_MS;
-            } else if (refused.reason() == OrderRefusal.OTHER_LIFE) {
+            }
+            if (refused.reason() == OrderRefusal.OTHER_LIFE) {
                 outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
             } else {
                 tracker.nextSendMs = nowMs + RETRY_DELAY_MS;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/SuccessionHandler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/SuccessionHandler.java
@@ -130,7 +130,7 @@
                 outcome -> replicaThread.execute(() -> {
                     succession.inFlight = false;
                     succession.nextSendMs = clock.nowMs() + RETRY_DELAY_MS;
-                    boolean isAwaited = fencingToken == session.fencingToken && !session.removalProposed;
+                    boolean isAwaited = session.isLatestFencingToken(fencingToken) && !session.removalProposed;
                     if (isAwaited && !term.isClosed() && isCurrent.test(session)) {
                         handleAnswer(session, fencingToken, outcome);
                     }
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerClock.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerClock.java
@@ -78,11 +78,6 @@
                 + TIMER_SLACK_MS;
     }
 
-    /** When every lease granted by an earlier leader is sure to have expired, on this leader's clock. */
-    static long earlierLeasesExpiredAtMs(long leaseMs, long leadsSinceMs) {
-        return expiredAtMs(leadsSinceMs, leaseMs);
-    }
-
     /** When a lease of the given length is sure to have expired, on the leader's clock, if it began by the given time. */
     static long expiredAtMs(long beganByMs, long leaseMs) {
         return beganByMs + (long) Math.ceil(leaseMs / MIN_CLOCK_RATE) + TIMER_SLACK_MS;
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -406,7 +406,7 @@
         } else if (outcome instanceof RenewOutcome.Refused refused) {
             metrics.count(ORDER_REFUSALS, refused.reason());
             session.nextRenewalMs = nowMs + RETRY_DELAY_MS;
-            if (refused.reason() == OrderRefusal.FENCED && order.fencingToken() == session.fencingToken) {
+            if (refused.reason() == OrderRefusal.FENCED && session.isLatestFencingToken(order.fencingToken())) {
                 term.markFencedOut();
                 Log.event("fencedOut")
                         .with("worker", session.id())
@@ -446,7 +446,7 @@
         session.recordAnswer(nowMs);
         session.lastListedMs = nowMs;
         listingReconciler.reconcile(session, listed, requestedAtMs, nowMs);
-        boolean isBarrier = order.fencingToken() == session.fencingToken;
+        boolean isBarrier = session.isLatestFencingToken(order.fencingToken());
         if (session.quarantined && isBarrier) {
             session.quarantined = false;
             session.runsLostWithLease.clear();
@@ -477,7 +477,7 @@
     private long leasesExpiredAtMs(WorkerSession session) {
         return Math.max(
                 session.clock.isKnown() ? session.clock.leasesExpiredAtMs() : 0,
-                WorkerClock.earlierLeasesExpiredAtMs(timings.leaseMs(), term.sinceMs()));
+                WorkerClock.expiredAtMs(term.sinceMs(), timings.leaseMs()));
     }
 
     /** When also those leases are sure to have expired that a later incarnation may hold. */
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -205,6 +205,11 @@
         return unknownRuns.isEmpty();
     }
 
+    /** Whether no later fencing token was drawn for this incarnation since the given one. */
+    boolean isLatestFencingToken(long token) {
+        return token == fencingToken;
+    }
+
     /** Whether another incarnation has taken the place of this one, which gets no further orders. */
     boolean isSucceeded() {
         return succession != null;
