--- a/review/standins-3/Judge.java
+++ b/review/standins-3/Judge.java
@@ -55,6 +55,12 @@
         }
     }
 
+    /** Whether a task of the job runs on a runner that is up. */
+    static synchronized boolean isRunning(String job) {
+        return RUNNING.entrySet().stream()
+                .anyMatch(entry -> entry.getKey().startsWith(job + ".") && !entry.getValue().isEmpty());
+    }
+
     /** What broke TWICE: two runs at the same time, or a start after an end {@code done} that was noted. */
     static synchronized List<String> broken() {
         List<String> all = new ArrayList<>(BROKEN);
--- a/review/standins-3/Runner.java
+++ b/review/standins-3/Runner.java
@@ -19,6 +19,8 @@
  */
 final class Runner implements AutoCloseable {
     private static final String RUN_MS = "run-ms=";
+    /** In a spec: the task's runs end {@code failed}. */
+    private static final String FAILS = "fails;";
 
     final String id;
     private final Site site;
@@ -223,7 +225,8 @@
             long workMs = runMs(body.path("spec").asText());
             works.put(task, new long[] {clockMs() + workMs, workMs});
             Judge.begun(site.trace, Runner.this, index, task, run);
-            timer.schedule(() -> endRun(task, run, "done"), workMs, TimeUnit.MILLISECONDS);
+            String how = body.path("spec").asText().contains(FAILS) ? "failed" : "done";
+            timer.schedule(() -> endRun(task, run, how), workMs, TimeUnit.MILLISECONDS);
             return done();
         }
 
