Review: cases 11 and 13 are dropped, as review/5 and review/10 show their faults; case 12 becomes 11

Case 11 (hourly jobs for a year fill the memory of all replicas) is review/5; case 13 (jobs under ids in use are answered 200 and lost) is review/10, with two tenants beside two queues. Both are known red and still there. Change: the folders are removed; the case of the ends that a new leader notes unread is number 11 now.

--- a/review/11/Case11.java
+++ b/review/11/Case11.java
@@ -1,51 +1,67 @@
-import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 
-/** Hourly jobs for a year are handed in, one a second; all replicas run out of memory, and don't come back. */
+/**
+ * The core loses power, a runner crashes and is back under its old id, and a late order meant for its former life is carried
+ * out by the new one. The next leader notes the new life's end with the cursor of the former one, and starts the task again.
+ */
 final class Case11 {
-    private static final int TIMED_JOBS = 40;
-    private static final int HOURS_OF_A_YEAR = 8_760;
-    private static final long HOUR_MS = 3_600_000;
-    private static final int TASKS = 6;
+    private static final long LATE_MS = 3_000;
+    private static final long CORE_DOWN_MS = 6_000;
+    private static final long WORK_MS = 500;
+    private static final int JOBS_BEFORE = 40;
 
     private Case11() {}
 
     public static void main(String[] args) {
-        Case.run(args, 4, 3, 6, Case11::play);
+        Case.run(args, 4, 2, 4, Case11::play);
     }
 
     private static List<String> play(Site site, List<Runner> runners, boolean isTroubled) throws Exception {
-        List<String> broken = new ArrayList<>();
-        Restarter restarter = new Restarter(site);
-        restarter.start();
         try (Clients clients = new Clients(site)) {
-            for (int n = 0; n < TIMED_JOBS; n++) {
-                clients.submit(Site.newId(), isTroubled ? hourlyJob() : Site.job(TASKS, 500, 1_000, ""));
-                clients.submit(Site.newId(), Site.job(2, 500, 1_000, ""));
-                Site.pause(1_000);
+            for (int n = 0; n < JOBS_BEFORE; n++) {
+                clients.submitNow(n, Site.newId(), Site.job(2, 50, 4_000, ""));
             }
-            clients.awaitEnd(1_000);
-            site.trace.say("end of the traffic; last answers by status: " + clients.lastAnswers());
-            Site.pause(site.bound("finish_s") * 1_000L);
-            List<String> unanswered = clients.unanswered(12_000);
-            site.trace.say("accepted jobs: " + clients.accepted().size() + ", without an answer: " + unanswered.size());
-            restarter.stopRestarting();
-            site.trace.say("ends by themselves: " + restarter.ownEnds());
-            for (int n = 0; n < site.replicas; n++) {
-                long outOfMemory = site.logs("replica-" + n).lines().filter(line -> line.contains("OutOfMemoryError")).count();
-                site.trace.say("replica-" + n + ": lines with OutOfMemoryError: " + outOfMemory);
+            Site.pause(1_000);
+            String id = Site.newId();
+            site.trace.say("the job of the case is " + id);
+            if (isTroubled) {
+                AtomicBoolean isHeld = new AtomicBoolean();
+                Runner[] holder = new Runner[1];
+                for (Runner runner : runners) {
+                    runner.carryOutLate(task -> {
+                        boolean isFirst = task.startsWith(id) && isHeld.compareAndSet(false, true);
+                        holder[0] = isFirst ? runner : holder[0];
+                        return isFirst ? LATE_MS : 0;
+                    });
+                }
+                clients.submitNow(0, id, Site.job(1, WORK_MS, 4_000, ""));
+                while (!isHeld.get()) {
+                    Site.pause(5);
+                }
+                Site.pause(200);
+                for (int n = 0; n < site.replicas; n++) {
+                    site.signal("replica-" + n, "KILL");
+                }
+                holder[0].crash();
+                Site.pause(1_000);
+                holder[0].boot();
+                Site.pause(CORE_DOWN_MS - 1_000);
+                for (int n = 0; n < site.replicas; n++) {
+                    site.startReplica(n, false);
+                }
+            } else {
+                clients.submitNow(0, id, Site.job(1, WORK_MS, 4_000, ""));
             }
-            if (!unanswered.isEmpty()) {
-                broken.add("LOST: " + unanswered.size() + " of " + clients.accepted().size()
-                        + " accepted jobs get no answer from finish_s after the traffic on, such as " + unanswered.get(0));
+            long untilMs = site.trace.nowMs() + 20_000;
+            String state = "";
+            while (!state.contains("completed") && site.trace.nowMs() < untilMs) {
+                state = site.client(0, "GET", "/jobs/" + id, "").body();
+                Site.pause(300);
             }
+            site.trace.say("state of the job: " + state);
+            Site.pause(1_000);
+            return Judge.broken().stream().map(line -> "TWICE: " + line).toList();
         }
-        return broken;
-    }
-
-    private static String hourlyJob() {
-        return "{\"spec\":\"run-ms=500;\",\"repeat_count\":" + HOURS_OF_A_YEAR + ",\"first_ms\":"
-                + (System.currentTimeMillis() + HOUR_MS) + ",\"interval_ms\":" + HOUR_MS + ",\"phases\":[{\"count\":" + TASKS
-                + ",\"cpu\":1000,\"mem_mb\":256,\"est_runtime_ms\":500}]}";
     }
 }
