--- a/review/standins-3/Case.java
+++ b/review/standins-3/Case.java
@@ -1,6 +1,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
 final class Case {
@@ -15,6 +16,12 @@
     private Case() {}
 
     static void run(String[] args, int replicas, int entries, int runnerCount, Play play) {
+        run(args, site -> {}, replicas, entries, runnerCount, play);
+    }
+
+    /** Runs a case on a site with other bounds. */
+    static void run(
+            String[] args, Consumer<Site> bounds, int replicas, int entries, int runnerCount, Play play) {
         boolean isTroubled = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
         List<Runner> runners = new ArrayList<>();
@@ -31,6 +38,7 @@
             watchdog.start();
             Runtime.getRuntime().addShutdownHook(new Thread(site::close));
             trace.say(isTroubled ? "with the disruption" : "TROUBLE=0: without the disruption");
+            bounds.accept(site);
             start(site, runners, runnerCount);
             List<String> broken = play.run(site, runners, isTroubled);
             broken.forEach(line -> trace.say("BROKEN: " + line));
--- a/review/standins-3/Runner.java
+++ b/review/standins-3/Runner.java
@@ -30,6 +30,9 @@
     /** How late a start is carried out, without an answer; 0 for one that is answered at once. */
     private volatile ToLongFunction<String> lateMs = _task -> 0;
 
+    /** Whether no call arrives here and none leaves; what this runner does goes on. */
+    private volatile boolean isCutOff;
+
     private volatile Life life;
     private int lives;
 
@@ -50,6 +53,11 @@
         lateMs = newLateMs;
     }
 
+    void cutOff(boolean isNowCutOff) {
+        isCutOff = isNowCutOff;
+        site.trace.say(id + (isNowCutOff ? " is cut off from all machines of the system" : " is no longer cut off"));
+    }
+
     /** Begins a life. */
     synchronized void boot() throws IOException {
         lives++;
@@ -66,6 +74,11 @@
         crashed.end();
     }
 
+    /** What the runner last said of itself. */
+    ObjectNode lastReport() {
+        return life.report();
+    }
+
     int running() {
         Life present = life;
         return present == null ? 0 : present.runningCount();
@@ -130,20 +143,16 @@
         }
 
         private void beat() {
-            ObjectNode body = Site.JSON.createObjectNode();
+            ObjectNode body;
             synchronized (this) {
                 if (over) {
                     return;
                 }
                 sequence++;
-                body.put("service", Site.SERVICE).put("addr", host + ":" + site.runnerPort());
-                body.put("zone", site.zone(number)).put("version", "v1").put("slots", 8).put("state", "ready");
-                body.put("cold_left_ms", 0).put("seq", sequence).put("born", bornMs).put("clock_ms", clockMs());
-                body.putObject("capacity").put("cpu", 16_000).put("mem_mb", 65_536).put("gpu", 0);
-                body.putArray("labels").add("a").add(site.rack(number));
+                body = report();
             }
             String to = site.control(control % site.replicas);
-            boolean heard = Http.call(to, "PUT", "/api/instances/" + id, Site.hostLine(to), body.toString(), 1_000)
+            boolean heard = !isCutOff && Http.call(to, "PUT", "/api/instances/" + id, Site.hostLine(to), body.toString(), 1_000)
                     .isOk();
             if (!heard) {
                 control++;
@@ -155,8 +164,23 @@
             }
         }
 
+        /** What the runner says of itself. */
+        ObjectNode report() {
+            ObjectNode body = Site.JSON.createObjectNode();
+            body.put("service", Site.SERVICE).put("addr", host + ":" + site.runnerPort());
+            body.put("zone", site.zone(number)).put("version", "v1").put("slots", 8).put("state", "ready");
+            body.put("cold_left_ms", 0).put("seq", sequence).put("born", bornMs).put("clock_ms", clockMs());
+            body.putObject("capacity").put("cpu", 16_000).put("mem_mb", 65_536).put("gpu", 0);
+            body.putArray("labels").add(site.kind(number)).add(site.rack(number));
+            return body;
+        }
+
         private HttpPort.Reply handle(HttpPort.Call call) {
             JsonNode body = parse(call.body());
+            if (isCutOff) {
+                awaitEndOfCut();
+                return null;
+            }
             Reply reply;
             if (!id.equals(call.header("X-Expect-Instance"))) {
                 reply = new Reply(421, Site.JSON.createObjectNode());
@@ -177,9 +201,25 @@
             } else {
                 reply = new Reply(404, Site.JSON.createObjectNode());
             }
+            if (isCutOff) {
+                awaitEndOfCut();
+                return null;
+            }
             return reply == null ? null : new HttpPort.Reply(reply.status(), reply.body().toString());
         }
 
+        /** A call that began during the cut is lost; its caller hears nothing. */
+        private synchronized void awaitEndOfCut() {
+            while (isCutOff && !over) {
+                try {
+                    wait(100);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+            }
+        }
+
         /** Holds a connection open without an answer for as long as this life lasts. */
         private synchronized void hang() {
             while (!over) {
--- a/review/standins-3/Site.java
+++ b/review/standins-3/Site.java
@@ -39,6 +39,7 @@
     private final Map<String, Integer> starts = new LinkedHashMap<>();
     private List<String> zones;
     private long heartbeatMs = 1_500;
+    private int runnerOfKindB = -1;
     private boolean closed;
 
     /** The bounds that the users' page gives for Ruta Norte; {@code bound} replaces one. */
@@ -61,6 +62,24 @@
         }
     }
 
+    /** The bounds that the users' page gives for Koro Sleeves where they differ. */
+    void boundsOfKoroSleeves() {
+        bounds.put("hold_max_ms", 6000);
+        bounds.put("stop_ms", 200);
+        bounds.put("checkpoint_s", 0.5);
+        bounds.put("restore_ms", 250);
+        bounds.put("require_fencing", false);
+    }
+
+    /** Makes one runner the only one of kind {@code b}. */
+    void runnerOfKindB(int n) {
+        runnerOfKindB = n;
+    }
+
+    String kind(int n) {
+        return n == runnerOfKindB ? "b" : "a";
+    }
+
     /** A port so that it and the next 50 are free on loopback. */
     private static int freePort() throws IOException {
         for (int attempt = 0; attempt < 100; attempt++) {
@@ -80,11 +99,6 @@
         throw new IOException("no free ports");
     }
 
-    Site bound(String name, Object value) {
-        bounds.put(name, value);
-        return this;
-    }
-
     String replicaHost(int n) {
         return net + (11 + n);
     }
