--- a/review/13/Case13.java
+++ b/review/13/Case13.java
@@ -16,7 +16,7 @@
     private Case13() {}
 
     public static void main(String[] args) {
-        Case.run(args, Site::boundsOfKoroSleeves, 3, 2, 4, Case13::play);
+        Case.run(args, Site::boundsOfKoroSleeves, 3, 2, 9, Case13::play);
     }
 
     private static List<String> play(Site site, List<Runner> runners, boolean isTroubled) throws Exception {
