--- a/review/11/Case11.java
+++ b/review/11/Case11.java
@@ -6,6 +6,8 @@
  * out by the new one. The next leader notes the new life's end with the cursor of the former one, and starts the task again.
  */
 final class Case11 {
+    /** For so long the site's file lets a share of the orders be late. */
+    private static final long SPAN_MS = 5_500;
     private static final long LATE_MS = 2_000;
     private static final long CORE_DOWN_MS = 2_000;
     private static final long RUNNER_DOWN_MS = 600;
@@ -40,6 +42,8 @@
                 while (!isHeld.get()) {
                     Site.pause(5);
                 }
+                long others = Judge.begunSince(site.trace.nowMs() - SPAN_MS);
+                site.trace.say("in the " + SPAN_MS + " ms before, " + others + " other starts were carried out at once");
                 Site.pause(200);
                 for (int n = 0; n < site.replicas; n++) {
                     site.signal("replica-" + n, "KILL");
--- a/review/standins-3/Judge.java
+++ b/review/standins-3/Judge.java
@@ -13,6 +13,7 @@
     /** The runs of each task that ended done, and those of which the end was noted. */
     private static final Map<String, List<String>> DONE = new HashMap<>();
     private static final Map<String, Set<String>> NOTED = new HashMap<>();
+    private static final List<Long> BEGAN_AT_MS = new ArrayList<>();
     private static final List<LaterStart> LATER_STARTS = new ArrayList<>();
 
     /** A start of a task after runs of it had ended done, whether that was noted or not. */
@@ -23,6 +24,7 @@
     static synchronized void begun(Trace trace, Runner runner, int life, String task, int run) {
         String where = runner.id + " life " + life;
         trace.add(where + " begins " + task + "#" + run);
+        BEGAN_AT_MS.add(trace.nowMs());
         Set<String> places = RUNNING.computeIfAbsent(task, _task -> new HashSet<>());
         if (!places.isEmpty()) {
             BROKEN.add(task + "#" + run + " begins on " + where + " while the task runs as " + places);
@@ -55,6 +57,11 @@
         }
     }
 
+    /** How many starts were carried out from a moment on. */
+    static synchronized long begunSince(long fromMs) {
+        return BEGAN_AT_MS.stream().filter(atMs -> atMs >= fromMs).count();
+    }
+
     /** Whether a task of the job runs on a runner that is up. */
     static synchronized boolean isRunning(String job) {
         return RUNNING.entrySet().stream()
