--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -432,7 +432,10 @@
         for (int index = 0; index < step.tasks().size(); index++) {
             TaskRecord task = step.tasks().get(index);
             int run = isGang ? gangRun : task.run() + 1;
-            if (task.isWaiting() && !proposedStarts.containsKey(new RunKey(step.key(index), run))) {
+            boolean isStartable = task.isWaiting()
+                    && !proposedStarts.containsKey(new RunKey(step.key(index), run))
+                    && !driver.strangers().mayRun(step.key(index), nowMs);
+            if (isStartable) {
                 waiting.add(index);
                 if (task.crashHistory().isSuspect()) {
                     suspectWaits.record(step.key(index), nowMs);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
@@ -16,18 +16,21 @@
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
     private final BegunJobs begunJobs;
+    private final Strangers strangers;
     private final long maxOrderDelayMs;
 
     ListingReconciler(
             WorkerDriver.Dependencies dependencies,
             OutcomeProposer outcomeProposer,
             OrderSender orderSender,
-            BegunJobs begunJobs) {
+            BegunJobs begunJobs,
+            Strangers strangers) {
         this.link = dependencies.link();
         this.maxOrderDelayMs = dependencies.timings().maxOrderDelayMs();
         this.outcomeProposer = outcomeProposer;
         this.orderSender = orderSender;
         this.begunJobs = begunJobs;
+        this.strangers = strangers;
     }
 
     /** Handles a listing that was requested at {@code requestedAtMs}. */
@@ -35,6 +38,7 @@
         Set<RunKey> listedRuns = new HashSet<>();
         outcomeProposer.proposeListedEnds(session, listed.ended(), listedRuns);
         session.unknownRuns.clear();
+        strangers.record(session, listed.running(), nowMs);
         for (RunView view : listed.running()) {
             listedRuns.add(view.key());
             handleListedRun(session, view, requestedAtMs, nowMs);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -66,6 +66,7 @@
     private final OutcomeProposer outcomeProposer;
     private final BegunJobs begunJobs;
     private final UnansweredStarts unansweredStarts;
+    private final Strangers strangers;
     private final OrderSender orderSender;
     private final ListingReconciler listingReconciler;
     private final SuccessionHandler successionHandler;
@@ -88,6 +89,7 @@
                 new OutcomeProposer(dependencies.proposer(), new CrashAttribution(sessions::values, clock), accounting);
         this.begunJobs = new BegunJobs(dependencies.proposer());
         this.unansweredStarts = new UnansweredStarts(dependencies.proposer());
+        this.strangers = new Strangers(timings);
         this.orderSender = new OrderSender(
                 dependencies,
                 this.term,
@@ -96,9 +98,10 @@
                 unansweredStarts,
                 (session, tracker) -> isCurrent(session) && session.runs.get(tracker.run.key()) == tracker,
                 session -> renewIfDue(session, clock.nowMs()));
-        this.listingReconciler = new ListingReconciler(dependencies, outcomeProposer, orderSender, begunJobs);
-        this.successionHandler =
-                new SuccessionHandler(dependencies, this.term, outcomeProposer, orderSender, this::isCurrent);
+        this.listingReconciler =
+                new ListingReconciler(dependencies, outcomeProposer, orderSender, begunJobs, strangers);
+        this.successionHandler = new SuccessionHandler(
+                dependencies, this.term, outcomeProposer, orderSender, strangers, this::isCurrent);
     }
 
     /**
@@ -152,6 +155,11 @@
         return session(run.worker()).map(session -> session.runs.get(run.key()));
     }
 
+    /** The runs that workers have although the log does not have them there. */
+    Strangers strangers() {
+        return strangers;
+    }
+
     LeaderTimings timings() {
         return timings;
     }
@@ -381,6 +389,7 @@
     void tick(long nowMs) {
         begunJobs.tick(nowMs);
         unansweredStarts.tick();
+        strangers.tick(nowMs);
         for (WorkerSession session : List.copyOf(sessions.values())) {
             if (session.isSucceeded()) {
                 successionHandler.tick(session, nowMs);
--- a/graph/src/test/java/org/lovagegrade/graph/leader/NextLifeTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/NextLifeTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lovagegrade.wire.proto.RunEndProto;
 
 /** Guards against orders to one incarnation of a worker that reach the next one seconds later, before any leader does. */
 final class NextLifeTest {
@@ -105,6 +106,39 @@
         }
     }
 
+    @Nested
+    final class LateCopies {
+        /** Guards against a start elsewhere while the late copy of an earlier run is known to be at work, and being stopped. */
+        @Test
+        void shouldBeStoppedBeforeTheirTaskIsStartedElsewhere() {
+            for (long seed = 0; seed < 20; seed++) {
+                SimulatedCell cell = new SimulatedCell(seed, 2, 0);
+                cell.acceptOrdersToFormerIncarnations();
+                cell.makeRunsLast();
+                cell.stopSlowly();
+                cell.time.advance(2_000);
+                String filler = cell.submit(SimulatedCell.tasks(1, 4_000, false));
+                cell.time.advance(2_000);
+
+                String job = cell.submit(SimulatedCell.tasks(1, 500, false));
+                cell.carryOutStartsLate(job, 3_000);
+                cell.time.advance(1_000);
+                cell.endRunOf(job, RunEndProto.RUN_FAILED);
+                cell.time.advance(500);
+                cell.partitionWorkerAt(cell.addressOfLateStart().orElseThrow(), 2_000);
+                cell.crashWorkerAt(cell.addressOfLateStart().orElseThrow(), REBOOT_MS);
+                cell.time.advance(1_000);
+                cell.cancel(filler);
+                cell.time.advance(SETTLE_MS);
+
+                assertNoneViolated(RUNS, cell.violationsOf(RUNS), seed);
+                assertWithMessage("seed " + seed)
+                        .that(cell.job(job).step(0, 0).tasks().get(0).run())
+                        .isAtLeast(3);
+            }
+        }
+    }
+
     @Nested
     final class DrawnMixes {
         private static final long SEEDS = 120;
--- a/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/SimulatedCell.java
@@ -253,6 +253,15 @@
                 .build());
     }
 
+    /** Ends the run of a job with one task, as its worker lists it from then on. */
+    void endRunOf(String job, RunEndProto how) {
+        RunRecord run = machine.runs().values().stream()
+                .filter(each -> each.key().task().job().equals(job))
+                .findFirst()
+                .orElseThrow();
+        workers.get(machine.workers().get(run.worker()).info().getAddress()).end(run.key(), how);
+    }
+
     /** How many orders to stop a run of the job were sent. */
     int stopsSentFor(String job) {
         return stopsByJob.getOrDefault(job, 0);
