--- a/graph/src/main/java/org/lovagegrade/graph/leader/Strangers.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/Strangers.java
@@ -46,6 +46,9 @@
 
     /** Whether a worker may still have a run of the task that the log does not have there. */
     boolean mayRun(TaskKey task, long nowMs) {
+        if (byWorker.isEmpty()) {
+            return false;
+        }
         return byWorker.values().stream()
                 .filter(listed -> nowMs < leaseExpiredAtMs(listed))
                 .flatMap(listed -> listed.runs().stream())
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -12,7 +12,6 @@
 import org.lovagegrade.graph.machine.RunRecord;
 import org.lovagegrade.graph.machine.WorkerRecord;
 import org.lovagegrade.graph.worker.OrderRefusal;
-import org.lovagegrade.graph.worker.RenewOrder;
 import org.lovagegrade.graph.worker.RenewOutcome;
 import org.lovagegrade.graph.worker.WorkerLink;
 import org.lovagegrade.kernel.Clock;
@@ -34,20 +33,12 @@
     static final String ORDER_REFUSALS = "lovagegrade_order_refusals";
     static final String WITHDRAWN_STARTS = "lovagegrade_withdrawn_starts";
     private static final String LOST_RUNS = "lovagegrade_lost_runs";
-    /** How long a worker may hold a listing back while no run ends; each listing costs one message. */
-    private static final long LISTING_WAIT_MS = 1_500;
-    /** A renewal that fails sooner, although the worker need not wait, has lost its connection. */
-    private static final long MIN_RENEWAL_TIMEOUT_MS = 500;
-    /** The delay before an unanswered or refused renewal is sent again. */
+    /** The delay before an unanswered question is asked again. */
     private static final long RETRY_DELAY_MS = 150;
-    /** A worker whose ends are being committed is polled again after this time at the latest, to renew its lease. */
-    private static final long MAX_COMMIT_WAIT_MS = 1_000;
     /** Spans at least two listings, so that one late listing does not count as a stall. */
     private static final long MIN_STALL_MS = 2_800;
     /** Divides the estimated run time to get the stall threshold; estimates are often far too low or too high. */
     private static final long STALL_ESTIMATE_DIVISOR = 5;
-    /** The time of the last report where a new one has to be awaited, since the worker may have been cut off since. */
-    private static final long NO_REPORT_MS = 0;
     /** The log shows within this time of a start whether it went unanswered, even if a leader's clock was set meanwhile. */
     private static final long START_OUTCOME_MS = 3_000;
     /** A worker whose lease has expired is removed after this time without an answer or a heartbeat. */
@@ -68,7 +59,7 @@
     private final UnansweredStarts unansweredStarts;
     private final Strangers strangers;
     private final OrderSender orderSender;
-    private final ListingReconciler listingReconciler;
+    private final RenewalHandler renewalHandler;
     private final SuccessionHandler successionHandler;
 
     WorkerDriver(Dependencies dependencies, long term, long nowMs) {
@@ -97,11 +88,19 @@
                 begunJobs,
                 unansweredStarts,
                 (session, tracker) -> isCurrent(session) && session.runs.get(tracker.run.key()) == tracker,
-                session -> renewIfDue(session, clock.nowMs()));
-        this.listingReconciler =
+                this::renewIfDue);
+        ListingReconciler listingReconciler =
                 new ListingReconciler(dependencies, outcomeProposer, orderSender, begunJobs, strangers);
         this.successionHandler = new SuccessionHandler(
                 dependencies, this.term, outcomeProposer, orderSender, strangers, this::isCurrent);
+        this.renewalHandler = new RenewalHandler(
+                dependencies,
+                this.term,
+                outcomeProposer,
+                orderSender,
+                listingReconciler,
+                successionHandler,
+                this::isCurrent);
     }
 
     /**
@@ -336,7 +335,7 @@
 
     private void handleVerification(WorkerSession session, long askedAtMs, long fencingToken, RenewOutcome outcome) {
         if (outcome instanceof RenewOutcome.Listed listed) {
-            if (isOtherIncarnation(session, listed)) {
+            if (session.isOtherIncarnation(listed.bornMs())) {
                 successionHandler.begin(session, listed.bornMs());
             } else {
                 session.verifiedAtMs = askedAtMs;
@@ -357,12 +356,6 @@
         }
     }
 
-    private static boolean isOtherIncarnation(WorkerSession session, RenewOutcome.Listed listed) {
-        return listed.bornMs() != 0
-                && session.info().getBornMs() != 0
-                && listed.bornMs() != session.info().getBornMs();
-    }
-
     private static boolean isPredecessor(WorkerProto worker, WorkerProto successor) {
         boolean isSameAddress = worker.getAddress().equals(successor.getAddress());
         return worker.getId().equals(successor.getId()) ? worker.getBornMs() != successor.getBornMs() : isSameAddress;
@@ -398,7 +391,7 @@
             if (session.otherIncarnationSuspected) {
                 verifyIncarnation(session, nowMs);
             }
-            renewIfDue(session, nowMs);
+            renewalHandler.renewIfDue(session, nowMs);
             if (session.activated && !session.quarantined) {
                 for (RunTracker tracker : List.copyOf(session.runs.values())) {
                     orderSender.sendIfDue(session, tracker, nowMs);
@@ -408,138 +401,8 @@
         }
     }
 
-    // --- renewals and listings
-
-    private void renewIfDue(WorkerSession session, long nowMs) {
-        boolean mayRenew = !session.renewalInFlight && !session.removalProposed && !session.isSucceeded();
-        if (!mayRenew || !term.mayAct() || nowMs < session.nextRenewalMs) {
-            return;
-        }
-        boolean isCommitAwaited = session.proposedCursor > session.record.cursor();
-        if (isCommitAwaited && nowMs - session.lastAnswerMs < MAX_COMMIT_WAIT_MS) {
-            return;
-        }
-        boolean mayGrant = session.activated && !session.quarantined && !session.incarnationUnconfirmed;
-        boolean isAcknowledgementDue = session.acknowledgement.dueCursor(session.record.cursor()) > 0;
-        if (mayGrant && isAcknowledgementDue && session.isStartAnswerNear(nowMs)) {
-            return;
-        }
-        session.renewalInFlight = true;
-        long untilMs = mayGrant ? orderSender.leaseFor(session, nowMs) : 0;
-        long cursor = mayGrant ? cursorFor(session, nowMs) : 0;
-        long waitMs = mayGrant && !isAcknowledgementDue ? LISTING_WAIT_MS : 0;
-        if (cursor > 0) {
-            session.acknowledgement.sent(cursor);
-        }
-        RenewOrder order = new RenewOrder(session.fencingToken, untilMs, cursor, waitMs);
-        link.renew(
-                session.info(),
-                order,
-                outcome -> replicaThread.execute(() -> {
-                    session.renewalInFlight = false;
-                    session.acknowledgement.settled();
-                    if (!term.isClosed() && !session.isSucceeded() && isCurrent(session)) {
-                        handleRenewalOutcome(session, order, nowMs, outcome);
-                    }
-                }));
-    }
-
-    /** The cursor that a worker may get now: 0 if it would harm the next incarnation, should it be the one that gets it. */
-    private static long cursorFor(WorkerSession session, long nowMs) {
-        boolean mayAcknowledge = session.isListedJustNow(nowMs) && !session.mayStartBeginLate();
-        return mayAcknowledge ? session.acknowledgement.dueCursor(session.record.cursor()) : 0;
-    }
-
-    private void handleRenewalOutcome(
-            WorkerSession session, RenewOrder order, long requestedAtMs, RenewOutcome outcome) {
-        long nowMs = clock.nowMs();
-        if (outcome instanceof RenewOutcome.Listed listed) {
-            handleListing(session, order, requestedAtMs, listed, nowMs);
-        } else if (outcome instanceof RenewOutcome.Refused refused) {
-            metrics.count(ORDER_REFUSALS, refused.reason());
-            session.nextRenewalMs = nowMs + RETRY_DELAY_MS;
-            if (refused.reason() == OrderRefusal.FENCED && session.isLatestFencingToken(order.fencingToken())) {
-                term.markFencedOut();
-                Log.event("fencedOut")
-                        .with("worker", session.id())
-                        .with("term", term.number())
-                        .with("fence", order.fencingToken())
-                        .warn();
-            } else if (refused.reason() == OrderRefusal.OTHER_LIFE) {
-                outcomeProposer.proposeRemoval(session, WorkerRemovalReason.OTHER_LIFE);
-            }
-        } else if (outcome instanceof RenewOutcome.Unanswered unanswered) {
-            session.incarnationUnconfirmed = true;
-            if (order.cursor() > 0) {
-                outrankAcknowledgement(session);
-            }
-            if (!session.activated) {
-                session.reports.setLastReportMs(NO_REPORT_MS);
-            }
-            boolean failedBeforeTimeout = nowMs - requestedAtMs < Math.max(order.waitMs(), MIN_RENEWAL_TIMEOUT_MS);
-            if (failedBeforeTimeout) {
-                session.recordBrokenConnection(nowMs);
-            } else {
-                session.recordUnanswered(nowMs);
-            }
-            session.nextRenewalMs = nowMs + RETRY_DELAY_MS;
-            if (unanswered.refusedConnection() && session.reports.isEndAnnounced()) {
-                outcomeProposer.proposeRemoval(session, WorkerRemovalReason.LEFT);
-            }
-        }
-    }
-
-    /** Lets no worker forget the end of a run that it begins from now on, should it get the acknowledgement later. */
-    private void outrankAcknowledgement(WorkerSession session) {
-        session.fencingToken = term.nextFencingToken();
-    }
-
-    private void handleListing(
-            WorkerSession session, RenewOrder order, long requestedAtMs, RenewOutcome.Listed listed, long nowMs) {
-        if (isOtherIncarnation(session, listed)) {
-            successionHandler.begin(session, listed.bornMs());
-            return;
-        }
-        session.incarnationUnconfirmed = false;
-        session.otherIncarnationSuspected = false;
-        session.clock.update(listed.clockMs(), nowMs);
-        session.recordAnswer(nowMs);
-        session.lastListedMs = nowMs;
-        session.acknowledgement.listed(order.cursor(), listed.ended());
-        listingReconciler.reconcile(session, listed, requestedAtMs, nowMs);
-        boolean isBarrier = session.isLatestFencingToken(order.fencingToken());
-        if (session.quarantined && isBarrier) {
-            session.quarantined = false;
-            session.runsLostWithLease.clear();
-            Log.event("workerRegained").with("worker", session.id()).info();
-        }
-        if (!session.activated && !session.quarantined) {
-            activate(session, nowMs);
-        }
-        if (order.cursor() > 0) {
-            session.runs.values().forEach(tracker -> orderSender.sendIfDue(session, tracker, nowMs));
-        }
-        session.nextRenewalMs = isAcknowledgementHeldBack(session, nowMs) ? nowMs + RETRY_DELAY_MS : nowMs;
-        renewIfDue(session, nowMs);
-    }
-
-    /** Whether the worker would list the same ends at once again, as they can't be acknowledged yet. */
-    private static boolean isAcknowledgementHeldBack(WorkerSession session, long nowMs) {
-        return session.acknowledgement.dueCursor(session.record.cursor()) > 0
-                && session.mayStartBeginLate()
-                && !session.isStartAnswerNear(nowMs);
-    }
-
-    private void activate(WorkerSession session, long nowMs) {
-        session.activated = true;
-        Log.event("workerIntroduced")
-                .with("worker", session.id())
-                .with("fence", session.fencingToken)
-                .with("bornMs", session.info().getBornMs())
-                .with("domain", session.info().getFailureDomain())
-                .with("runs", session.runs.size())
-                .info();
-        session.runs.values().forEach(tracker -> orderSender.sendIfDue(session, tracker, nowMs));
+    private void renewIfDue(WorkerSession session) {
+        renewalHandler.renewIfDue(session, clock.nowMs());
     }
 
     // --- lost workers
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerSession.java
@@ -235,6 +235,11 @@
         return succession != null;
     }
 
+    /** Whether an answer came from another incarnation, by its start in milliseconds since 1970; 0 is not reported. */
+    boolean isOtherIncarnation(long bornMs) {
+        return bornMs != 0 && info().getBornMs() != 0 && bornMs != info().getBornMs();
+    }
+
     /** Whether runs of this incarnation may go on under a lease that was reckoned on another clock. */
     boolean mayRunOnSuccessor() {
         return runs.values().stream()
