--- a/graph/src/main/java/org/lovagegrade/graph/leader/RenewalHandler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/RenewalHandler.java
@@ -1,6 +1,7 @@
 package org.lovagegrade.graph.leader;
 
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.lovagegrade.graph.worker.OrderRefusal;
 import org.lovagegrade.graph.worker.RenewOrder;
@@ -30,6 +31,7 @@
     private final Executor replicaThread;
     private final Clock clock;
     private final Metrics metrics;
+    private final BooleanSupplier holdsLease;
     private final DriverTerm term;
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
@@ -60,6 +62,7 @@
         this.replicaThread = dependencies.replicaThread();
         this.clock = dependencies.clock();
         this.metrics = dependencies.metrics();
+        this.holdsLease = dependencies.holdsLease();
         this.term = term;
         this.outcomeProposer = outcomeProposer;
         this.orderSender = orderSender;
@@ -103,9 +106,13 @@
                 }));
     }
 
-    /** The cursor that a worker may get now: 0 if it would harm the next incarnation, should it be the one that gets it. */
-    private static long cursorFor(WorkerSession session, long nowMs) {
-        boolean mayAcknowledge = session.isListedJustNow(nowMs) && !session.mayStartBeginLate();
+    /**
+     * The cursor that a worker may get now: 0 if it would harm the next incarnation, should it be the one that gets it. After a
+     * pause a leader may find a list that is older than it seems; by then its lease has expired.
+     */
+    private long cursorFor(WorkerSession session, long nowMs) {
+        boolean mayAcknowledge =
+                session.isListedJustNow(nowMs) && !session.mayStartBeginLate() && holdsLease.getAsBoolean();
         return mayAcknowledge ? session.acknowledgement.dueCursor(session.record.cursor()) : 0;
     }
 
