--- a/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/GraphLeader.java
@@ -434,7 +434,7 @@
             int run = isGang ? gangRun : task.run() + 1;
             boolean isStartable = task.isWaiting()
                     && !proposedStarts.containsKey(new RunKey(step.key(index), run))
-                    && !driver.strangers().mayRun(step.key(index), nowMs);
+                    && !driver.unknownRuns().mayRun(step.key(index), nowMs);
             if (isStartable) {
                 waiting.add(index);
                 if (task.crashHistory().isSuspect()) {
--- a/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/ListingReconciler.java
@@ -16,7 +16,7 @@
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
     private final BegunJobs begunJobs;
-    private final Strangers strangers;
+    private final UnknownRuns unknownRuns;
     private final long maxOrderDelayMs;
 
     ListingReconciler(
@@ -24,13 +24,13 @@
             OutcomeProposer outcomeProposer,
             OrderSender orderSender,
             BegunJobs begunJobs,
-            Strangers strangers) {
+            UnknownRuns unknownRuns) {
         this.link = dependencies.link();
         this.maxOrderDelayMs = dependencies.timings().maxOrderDelayMs();
         this.outcomeProposer = outcomeProposer;
         this.orderSender = orderSender;
         this.begunJobs = begunJobs;
-        this.strangers = strangers;
+        this.unknownRuns = unknownRuns;
     }
 
     /** Handles a listing that was requested at {@code requestedAtMs}. */
@@ -38,7 +38,7 @@
         Set<RunKey> listedRuns = new HashSet<>();
         outcomeProposer.proposeListedEnds(session, listed.ended(), listedRuns);
         session.unknownRuns.clear();
-        strangers.record(session, listed.running(), nowMs);
+        unknownRuns.record(session, listed.running(), nowMs);
         for (RunView view : listed.running()) {
             listedRuns.add(view.key());
             handleListedRun(session, view, requestedAtMs, nowMs);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/SuccessionHandler.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/SuccessionHandler.java
@@ -29,7 +29,7 @@
     private final DriverTerm term;
     private final OutcomeProposer outcomeProposer;
     private final OrderSender orderSender;
-    private final Strangers strangers;
+    private final UnknownRuns unknownRuns;
     private final Executor replicaThread;
     private final LeaderTimings timings;
     private final Clock clock;
@@ -42,7 +42,7 @@
      * @param term the term of the orders
      * @param outcomeProposer proposes ends of runs and removals of workers
      * @param orderSender sends the orders to the former incarnations
-     * @param strangers the runs that workers have although the log does not have them there
+     * @param unknownRuns the runs that workers have although the log does not have them there
      * @param isCurrent whether the log still has that incarnation of the worker
      */
     SuccessionHandler(
@@ -50,13 +50,13 @@
             DriverTerm term,
             OutcomeProposer outcomeProposer,
             OrderSender orderSender,
-            Strangers strangers,
+            UnknownRuns unknownRuns,
             Predicate<WorkerSession> isCurrent) {
         this.link = dependencies.link();
         this.term = term;
         this.outcomeProposer = outcomeProposer;
         this.orderSender = orderSender;
-        this.strangers = strangers;
+        this.unknownRuns = unknownRuns;
         this.replicaThread = dependencies.replicaThread();
         this.timings = dependencies.timings();
         this.clock = dependencies.clock();
@@ -160,7 +160,7 @@
 
     private void settle(WorkerSession session, RenewOutcome.Listed listed) {
         Succession succession = session.succession;
-        strangers.record(session, listed.running(), clock.nowMs());
+        unknownRuns.record(session, listed.running(), clock.nowMs());
         outcomeProposer.proposeEndsOnSuccessor(session, listed.ended());
         Set<RunKey> listedRuns = listed.running().stream().map(RunView::key).collect(Collectors.toSet());
         listed.ended().stream().map(EndedRunView::key).forEach(listedRuns::add);
--- a/graph/src/main/java/org/lovagegrade/graph/leader/Strangers.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/UnknownRuns.java
@@ -12,35 +12,35 @@
  * The runs that workers list although the log does not have them there: late orders began them. Until they have been stopped
  * their tasks must not be started elsewhere.
  */
-final class Strangers {
+final class UnknownRuns {
     private final LeaderTimings timings;
     private final Map<String, Listed> byWorker = new HashMap<>();
 
     /** The runs that a worker listed, and when. */
     private record Listed(List<RunKey> runs, long atMs) {}
 
-    Strangers(LeaderTimings timings) {
+    UnknownRuns(LeaderTimings timings) {
         this.timings = timings;
     }
 
     /**
-     * Records the strangers among the runs that a worker lists, in place of those that it listed before.
+     * Records the unknown runs among the runs that a worker lists, in place of those that it listed before.
      *
      * @param session the incarnation that the log has
      * @param running the listed runs
      * @param nowMs the present time, on the monotonic clock in milliseconds
      */
     void record(WorkerSession session, List<RunView> running, long nowMs) {
-        List<RunKey> strangers = new ArrayList<>();
+        List<RunKey> unknownRuns = new ArrayList<>();
         for (RunView view : running) {
             if (!session.runs.containsKey(view.key())) {
-                strangers.add(view.key());
+                unknownRuns.add(view.key());
             }
         }
-        if (strangers.isEmpty()) {
+        if (unknownRuns.isEmpty()) {
             byWorker.remove(session.id());
         } else {
-            byWorker.put(session.id(), new Listed(strangers, nowMs));
+            byWorker.put(session.id(), new Listed(unknownRuns, nowMs));
         }
     }
 
--- a/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
+++ b/graph/src/main/java/org/lovagegrade/graph/leader/WorkerDriver.java
@@ -57,7 +57,7 @@
     private final OutcomeProposer outcomeProposer;
     private final BegunJobs begunJobs;
     private final UnansweredStarts unansweredStarts;
-    private final Strangers strangers;
+    private final UnknownRuns unknownRuns;
     private final OrderSender orderSender;
     private final RenewalHandler renewalHandler;
     private final SuccessionHandler successionHandler;
@@ -80,7 +80,7 @@
                 new OutcomeProposer(dependencies.proposer(), new CrashAttribution(sessions::values, clock), accounting);
         this.begunJobs = new BegunJobs(dependencies.proposer());
         this.unansweredStarts = new UnansweredStarts(dependencies.proposer());
-        this.strangers = new Strangers(timings);
+        this.unknownRuns = new UnknownRuns(timings);
         this.orderSender = new OrderSender(
                 dependencies,
                 this.term,
@@ -90,9 +90,9 @@
                 (session, tracker) -> isCurrent(session) && session.runs.get(tracker.run.key()) == tracker,
                 this::renewIfDue);
         ListingReconciler listingReconciler =
-                new ListingReconciler(dependencies, outcomeProposer, orderSender, begunJobs, strangers);
+                new ListingReconciler(dependencies, outcomeProposer, orderSender, begunJobs, unknownRuns);
         this.successionHandler = new SuccessionHandler(
-                dependencies, this.term, outcomeProposer, orderSender, strangers, this::isCurrent);
+                dependencies, this.term, outcomeProposer, orderSender, unknownRuns, this::isCurrent);
         this.renewalHandler = new RenewalHandler(
                 dependencies,
                 this.term,
@@ -155,8 +155,8 @@
     }
 
     /** The runs that workers have although the log does not have them there. */
-    Strangers strangers() {
-        return strangers;
+    UnknownRuns unknownRuns() {
+        return unknownRuns;
     }
 
     LeaderTimings timings() {
@@ -382,7 +382,7 @@
     void tick(long nowMs) {
         begunJobs.tick(nowMs);
         unansweredStarts.tick();
-        strangers.tick(nowMs);
+        unknownRuns.tick(nowMs);
         for (WorkerSession session : List.copyOf(sessions.values())) {
             if (session.isSucceeded()) {
                 successionHandler.tick(session, nowMs);
--- a/graph/src/test/java/org/lovagegrade/graph/leader/StrangersTest.java
+++ b/graph/src/test/java/org/lovagegrade/graph/leader/UnknownRunsTest.java
@@ -14,14 +14,14 @@
 import org.lovagegrade.wire.proto.WorkerProto;
 
 /** Guards against starts of a task while a worker has a run of it that the log does not have there (TWICE). */
-final class StrangersTest {
+final class UnknownRunsTest {
     private static final long MAX_LEASE_MS = 6_000;
     private static final long MAX_ORDER_DELAY_MS = 12_000;
     private static final LeaderTimings TIMINGS =
             new LeaderTimings(5_000, MAX_LEASE_MS, MAX_ORDER_DELAY_MS, 200, 1_500, 3_000);
     private static final TaskKey TASK = new TaskKey("a", 0, 0, 0);
 
-    private final Strangers strangers = new Strangers(TIMINGS);
+    private final UnknownRuns unknownRuns = new UnknownRuns(TIMINGS);
     private final WorkerSession session = sessionOf("w1");
 
     private static WorkerSession sessionOf(String worker) {
@@ -42,32 +42,32 @@
     final class Tasks {
         @Test
         void shouldBeHeldUntilTheirWorkerListsThemNoMore() {
-            strangers.record(session, running(TASK), 1_000);
-            assertThat(strangers.mayRun(TASK, 1_500)).isTrue();
-            assertThat(strangers.mayRun(new TaskKey("a", 0, 0, 1), 1_500)).isFalse();
+            unknownRuns.record(session, running(TASK), 1_000);
+            assertThat(unknownRuns.mayRun(TASK, 1_500)).isTrue();
+            assertThat(unknownRuns.mayRun(new TaskKey("a", 0, 0, 1), 1_500)).isFalse();
 
-            strangers.record(session, running(), 2_000);
+            unknownRuns.record(session, running(), 2_000);
 
-            assertThat(strangers.mayRun(TASK, 2_000)).isFalse();
+            assertThat(unknownRuns.mayRun(TASK, 2_000)).isFalse();
         }
 
         @Test
         void shouldBeHeldWhateverOtherWorkersList() {
-            strangers.record(session, running(TASK), 1_000);
+            unknownRuns.record(session, running(TASK), 1_000);
 
-            strangers.record(sessionOf("w2"), running(), 1_100);
+            unknownRuns.record(sessionOf("w2"), running(), 1_100);
 
-            assertThat(strangers.mayRun(TASK, 1_200)).isTrue();
+            assertThat(unknownRuns.mayRun(TASK, 1_200)).isTrue();
         }
 
         /** Guards against a task that is held for good, since the worker of the late run is gone. */
         @Test
         void shouldBeReleasedOnceNoLeaseCanHold() {
-            strangers.record(session, running(TASK), 1_000);
+            unknownRuns.record(session, running(TASK), 1_000);
 
-            assertThat(strangers.mayRun(TASK, 1_000 + MAX_ORDER_DELAY_MS + MAX_LEASE_MS))
+            assertThat(unknownRuns.mayRun(TASK, 1_000 + MAX_ORDER_DELAY_MS + MAX_LEASE_MS))
                     .isTrue();
-            assertThat(strangers.mayRun(TASK, 2_000 + MAX_ORDER_DELAY_MS + MAX_LEASE_MS))
+            assertThat(unknownRuns.mayRun(TASK, 2_000 + MAX_ORDER_DELAY_MS + MAX_LEASE_MS))
                     .isFalse();
         }
     }
